Add one path from caller to worker through separate processes

Cause: the whole path has to stand before its parts grow. Change: HTTP server for callers, route table, request flow, single-attempt dispatcher, object client, TOML settings, numbered configuration, stand-ins for the platform and a worker, example settings.

--- /dev/null
+++ b/src/caller/caller_request.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "core/ids.hpp"
+#include "core/runtime_clock.hpp"
+#include "operators/kind_settings.hpp"
+#include "upstream/forward_request.hpp"
+
+#include <utility>
+
+namespace pollenward::caller {
+
+/// A request that was read whole and passed all checks of its form.
+class caller_request {
+public:
+    /// `is_own_id` tells that the caller supplied the request id, so that it
+    /// may send the same request again.
+    static caller_request make(core::request_id id, bool is_own_id,
+        core::account_id account, operators::kind_settings kind,
+        core::time_point deadline, upstream::request_message message)
+    {
+        caller_request made;
+        made.id = std::move(id);
+        made.own_id = is_own_id;
+        made.account = std::move(account);
+        made.kind = std::move(kind);
+        made.deadline = deadline;
+        made.message = std::move(message);
+        return made;
+    }
+
+    const core::request_id& get_id() const { return this->id; }
+    bool is_own_id() const { return this->own_id; }
+    const core::account_id& get_account() const { return this->account; }
+    const operators::kind_settings& get_kind() const { return this->kind; }
+    core::time_point get_deadline() const { return this->deadline; }
+
+    const upstream::request_message& get_message() const
+    {
+        return this->message;
+    }
+
+    auto operator<=>(const caller_request&) const = default;
+
+private:
+    core::request_id id;
+    bool own_id = false;
+    core::account_id account;
+    operators::kind_settings kind;
+    core::time_point deadline;
+    upstream::request_message message;
+};
+
+} // namespace pollenward::caller
--- /dev/null
+++ b/src/caller/route_table.cpp
@@ -0,0 +1,72 @@
+#include "caller/route_table.hpp"
+
+namespace pollenward::caller {
+
+namespace {
+
+    std::string key_of(std::string_view method, std::string_view prefix)
+    {
+        std::string key(method);
+        key += ' ';
+        key += prefix;
+        return key;
+    }
+
+    std::string_view without_final_slash(std::string_view path)
+    {
+        const bool has_slash = path.size() > 1 && path.back() == '/';
+        return has_slash ? path.substr(0, path.size() - 1) : path;
+    }
+
+    /// "/a/b" -> "/a" -> "/" -> "".
+    std::string_view parent_of(std::string_view path)
+    {
+        const auto slash = path.rfind('/');
+        if (slash == std::string_view::npos || path == "/")
+        {
+            return {};
+        }
+        return slash == 0 ? path.substr(0, 1) : path.substr(0, slash);
+    }
+
+} // namespace
+
+route_table route_table::make(const operators::configuration& configuration)
+{
+    route_table made;
+    for (const operators::route& route : configuration.get_routes())
+    {
+        const auto kind = configuration.find_kind(route.get_kind());
+        if (kind)
+        {
+            made.kinds.emplace(
+                key_of(route.get_method(),
+                    without_final_slash(route.get_path_prefix())),
+                *kind);
+        }
+    }
+    return made;
+}
+
+std::optional<operators::kind_settings> route_table::find(
+    std::string_view method, std::string_view path) const
+{
+    std::string_view prefix = without_final_slash(path);
+    while (!prefix.empty())
+    {
+        const auto found = this->kinds.find(key_of(method, prefix));
+        if (found != this->kinds.end())
+        {
+            return found->second;
+        }
+        prefix = parent_of(prefix);
+    }
+    return std::nullopt;
+}
+
+std::string_view path_of(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+} // namespace pollenward::caller
--- /dev/null
+++ b/src/caller/route_table.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "operators/configuration.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace pollenward::caller {
+
+/// Finds the kind of a request by method and path. The cost depends on the
+/// number of path segments, not on the number of routes.
+class route_table {
+public:
+    static route_table make(const operators::configuration& configuration);
+
+    /// The kind declared for the longest matching prefix, or nothing. The
+    /// query part of the target, if any, must have been removed.
+    std::optional<operators::kind_settings> find(
+        std::string_view method, std::string_view path) const;
+
+    bool operator==(const route_table&) const = default;
+
+private:
+    std::unordered_map<std::string, operators::kind_settings> kinds;
+};
+
+/// The path of a request target, without its query.
+std::string_view path_of(std::string_view target);
+
+} // namespace pollenward::caller
--- /dev/null
+++ b/src/main/settings.cpp
@@ -0,0 +1,292 @@
+#include "main/settings.hpp"
+
+#include <charconv>
+#include <limits>
+#include <map>
+#include <set>
+#include <string>
+
+#include <toml++/toml.h>
+
+namespace pollenward::main {
+
+namespace {
+
+    constexpr int default_threads = 2;
+    constexpr int max_threads = 64;
+    constexpr core::milliseconds default_drain_delay{ 2000 };
+    constexpr core::milliseconds default_drain_limit{ 30000 };
+
+    /// Parses "250ms" or "2s"; a number without a unit is refused.
+    std::optional<core::milliseconds> parse_duration(std::string_view text)
+    {
+        std::int64_t count = 0;
+        const char* end = text.data() + text.size();
+        const auto parsed = std::from_chars(text.data(), end, count);
+        const std::string_view unit(
+            parsed.ptr, static_cast<std::size_t>(end - parsed.ptr));
+        constexpr std::int64_t ms_per_second = 1000;
+        constexpr std::int64_t max_seconds
+            = std::numeric_limits<std::int64_t>::max() / ms_per_second;
+        if (parsed.ec != std::errc() || count < 0 || count > max_seconds)
+        {
+            return std::nullopt;
+        }
+        if (unit == "ms")
+        {
+            return core::milliseconds(count);
+        }
+        if (unit == "s")
+        {
+            return core::milliseconds(count * ms_per_second);
+        }
+        return std::nullopt;
+    }
+
+    /// Reads one TOML document and collects its faults.
+    class document_reader {
+    public:
+        document_reader(const toml::table& document, std::string file,
+            std::vector<core::error>& reasons)
+            : document(document)
+            , file(std::move(file))
+            , reasons(reasons)
+        {
+        }
+
+        std::string read_text(const char* section, const char* key)
+        {
+            const toml::node* node = this->find(section, key, true);
+            if (node == nullptr)
+            {
+                return {};
+            }
+            const auto text = node->value_exact<std::string>();
+            if (!text || text->empty())
+            {
+                this->report(*node, section, key, "must be a text");
+            }
+            return text.value_or("");
+        }
+
+        core::endpoint read_endpoint(const char* section, const char* key)
+        {
+            const toml::node* node = this->find(section, key, true);
+            if (node == nullptr)
+            {
+                return {};
+            }
+            return this->to_endpoint(*node, section, key);
+        }
+
+        std::vector<core::endpoint> read_endpoints(
+            const char* section, const char* key)
+        {
+            std::vector<core::endpoint> endpoints;
+            const toml::node* node = this->find(section, key, false);
+            if (node == nullptr)
+            {
+                return endpoints;
+            }
+            if (!node->is_array())
+            {
+                this->report(*node, section, key, "must be an array");
+                return endpoints;
+            }
+            for (const toml::node& each : *node->as_array())
+            {
+                endpoints.push_back(this->to_endpoint(each, section, key));
+            }
+            return endpoints;
+        }
+
+        core::milliseconds read_duration(
+            const char* section, const char* key, core::milliseconds fallback)
+        {
+            const toml::node* node = this->find(section, key, false);
+            if (node == nullptr)
+            {
+                return fallback;
+            }
+            const auto text = node->value_exact<std::string>();
+            const auto value = parse_duration(text.value_or(""));
+            if (!value)
+            {
+                this->report(*node, section, key,
+                    "must be a time with unit such as \"250ms\" or \"2s\"");
+            }
+            return value.value_or(fallback);
+        }
+
+        int read_count(const char* section, const char* key, int fallback,
+            int smallest, int largest)
+        {
+            const toml::node* node = this->find(section, key, false);
+            if (node == nullptr)
+            {
+                return fallback;
+            }
+            const auto value = node->value_exact<std::int64_t>();
+            if (!value || *value < smallest || *value > largest)
+            {
+                this->report(*node, section, key,
+                    "must be a whole number from " + std::to_string(smallest)
+                        + " to " + std::to_string(largest));
+                return fallback;
+            }
+            return static_cast<int>(*value);
+        }
+
+        void report_unknown_keys()
+        {
+            for (const auto& [section, node] : this->document)
+            {
+                const std::string name(section.str());
+                const toml::table* table = node.as_table();
+                if (this->known.count(name) == 0 || table == nullptr)
+                {
+                    this->report(node, name, "", "is not a known section");
+                    continue;
+                }
+                for (const auto& [key, value] : *table)
+                {
+                    if (this->known[name].count(std::string(key.str())) == 0)
+                    {
+                        this->report(value, name, std::string(key.str()),
+                            "is not a known key");
+                    }
+                }
+            }
+        }
+
+        /// Reports two keys that hold the same endpoint.
+        void report_clashes(
+            const std::map<std::string, core::endpoint>& listeners)
+        {
+            for (auto one = listeners.begin(); one != listeners.end(); ++one)
+            {
+                for (auto two = std::next(one); two != listeners.end(); ++two)
+                {
+                    if (one->second == two->second
+                        && one->second.get_port() != 0)
+                    {
+                        const toml::node* node
+                            = this->document.at_path(two->first).node();
+                        this->add(node, two->first,
+                            "is the same endpoint as " + one->first);
+                    }
+                }
+            }
+        }
+
+    private:
+        const toml::node* find(
+            const char* section, const char* key, bool is_required)
+        {
+            this->known[section].insert(key);
+            const toml::node* node = this->document[section][key].node();
+            if (node == nullptr && is_required)
+            {
+                this->add(this->document.get(section),
+                    std::string(section) + "." + key, "is missing");
+            }
+            return node;
+        }
+
+        core::endpoint to_endpoint(
+            const toml::node& node, const char* section, const char* key)
+        {
+            core::error reason;
+            const auto text = node.value_exact<std::string>();
+            const auto value
+                = core::endpoint::create(text.value_or(""), reason);
+            if (!value)
+            {
+                this->report(node, section, key,
+                    "must be \"IP number:port\": " + reason.get_cause());
+            }
+            return value.value_or(core::endpoint());
+        }
+
+        void report(const toml::node& node, const std::string& section,
+            const std::string& key, const std::string& cause)
+        {
+            this->add(
+                &node, key.empty() ? section : section + "." + key, cause);
+        }
+
+        void add(const toml::node* node, const std::string& name,
+            const std::string& cause)
+        {
+            std::string place = this->file;
+            if (node != nullptr)
+            {
+                place += ":" + std::to_string(node->source().begin.line);
+            }
+            this->reasons.push_back(core::error::make(
+                "read settings", std::move(place), name + " " + cause));
+        }
+
+        const toml::table& document;
+        std::string file;
+        std::vector<core::error>& reasons;
+        std::map<std::string, std::set<std::string>> known;
+    };
+
+    /// Parses TOML text; an empty optional after reporting a syntax error.
+    std::optional<toml::table> parse_document(std::string_view text,
+        std::string_view file, std::vector<core::error>& reasons)
+    {
+        try
+        {
+            return toml::parse(text, file);
+        }
+        catch (const toml::parse_error& failure)
+        {
+            reasons.push_back(core::error::make("parse settings",
+                std::string(file) + ":"
+                    + std::to_string(failure.source().begin.line),
+                std::string(failure.description())));
+            return std::nullopt;
+        }
+    }
+
+} // namespace
+
+std::optional<settings> settings::create(std::string_view text,
+    std::string_view file, std::vector<core::error>& reasons)
+{
+    const std::size_t faults_before = reasons.size();
+    const auto document = parse_document(text, file, reasons);
+    if (!document)
+    {
+        return std::nullopt;
+    }
+    document_reader reader(*document, std::string(file), reasons);
+    settings made;
+    made.id = core::daemon_id(reader.read_text("daemon", "id"));
+    made.zone = core::zone_id(reader.read_text("daemon", "zone"));
+    made.region = core::region_id(reader.read_text("daemon", "region"));
+    made.threads = reader.read_count(
+        "daemon", "threads", default_threads, 1, max_threads);
+    made.drain_delay
+        = reader.read_duration("daemon", "drain_delay", default_drain_delay);
+    made.drain_limit
+        = reader.read_duration("daemon", "drain_limit", default_drain_limit);
+    made.caller_endpoint = reader.read_endpoint("listen", "callers");
+    made.operator_endpoint = reader.read_endpoint("listen", "operators");
+    made.fleet_endpoint = reader.read_endpoint("listen", "fleet");
+    made.platform_endpoint = reader.read_endpoint("platform", "endpoint");
+    made.seeds = reader.read_endpoints("fleet", "seeds");
+    reader.report_clashes({ { "listen.callers", made.caller_endpoint },
+        { "listen.operators", made.operator_endpoint },
+        { "listen.fleet", made.fleet_endpoint } });
+    reader.report_unknown_keys();
+    if (reasons.size() != faults_before)
+    {
+        return std::nullopt;
+    }
+    return made;
+}
+
+} // namespace pollenward::main
--- /dev/null
+++ b/src/main/settings.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "core/endpoint.hpp"
+#include "core/error.hpp"
+#include "core/ids.hpp"
+#include "core/runtime_clock.hpp"
+
+#include <compare>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace pollenward::main {
+
+/// The daemon's settings, read from a TOML file before anything starts.
+class settings {
+public:
+    /// Reads the text of a settings file. Reports every fault found, each with
+    /// "file:line" as its peer; unknown keys are faults.
+    static std::optional<settings> create(std::string_view text,
+        std::string_view file, std::vector<core::error>& reasons);
+
+    const core::daemon_id& get_id() const { return this->id; }
+    const core::zone_id& get_zone() const { return this->zone; }
+    const core::region_id& get_region() const { return this->region; }
+
+    /// Threads that run requests and control work.
+    int get_threads() const { return this->threads; }
+
+    /// Time between failing the balancer's check and closing the listener.
+    core::milliseconds get_drain_delay() const { return this->drain_delay; }
+
+    /// Longest time that a shutdown waits for requests in flight.
+    core::milliseconds get_drain_limit() const { return this->drain_limit; }
+
+    const core::endpoint& get_caller_endpoint() const
+    {
+        return this->caller_endpoint;
+    }
+
+    const core::endpoint& get_operator_endpoint() const
+    {
+        return this->operator_endpoint;
+    }
+
+    const core::endpoint& get_fleet_endpoint() const
+    {
+        return this->fleet_endpoint;
+    }
+
+    const core::endpoint& get_platform_endpoint() const
+    {
+        return this->platform_endpoint;
+    }
+
+    /// Fleet endpoints to ask while the platform's host list is out of reach.
+    const std::vector<core::endpoint>& get_seeds() const { return this->seeds; }
+
+    auto operator<=>(const settings&) const = default;
+
+private:
+    core::daemon_id id;
+    core::zone_id zone;
+    core::region_id region;
+    int threads = 0;
+    core::milliseconds drain_delay{};
+    core::milliseconds drain_limit{};
+    core::endpoint caller_endpoint;
+    core::endpoint operator_endpoint;
+    core::endpoint fleet_endpoint;
+    core::endpoint platform_endpoint;
+    std::vector<core::endpoint> seeds;
+};
+
+} // namespace pollenward::main
--- /dev/null
+++ b/src/operators/configuration_json.cpp
@@ -0,0 +1,304 @@
+#include "operators/configuration_json.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <set>
+#include <utility>
+
+namespace pollenward::operators {
+
+namespace {
+
+    using nlohmann::json;
+
+    /// One JSON object being read; collects faults with their paths.
+    class object_reader {
+    public:
+        object_reader(const json& object, std::string path,
+            std::vector<core::error>& reasons)
+            : object(object)
+            , path(std::move(path))
+            , reasons(reasons)
+        {
+            if (!object.is_object())
+            {
+                this->report("", "is not an object");
+            }
+        }
+
+        /// The value of a key, or `fallback` with a fault reported if it is
+        /// absent or of another type.
+        template <class Value>
+        Value read(const char* key, Value fallback)
+        {
+            this->known.insert(key);
+            if (!this->object.is_object() || !this->object.contains(key))
+            {
+                this->report(key, "is missing");
+                return fallback;
+            }
+            return this->convert(key, std::move(fallback));
+        }
+
+        /// Like read(), but an absent key is no fault.
+        template <class Value>
+        Value read_or(const char* key, Value fallback)
+        {
+            this->known.insert(key);
+            if (!this->object.is_object() || !this->object.contains(key))
+            {
+                return fallback;
+            }
+            return this->convert(key, std::move(fallback));
+        }
+
+        /// The array below a key; an absent key is an empty array.
+        const json& read_array(const char* key)
+        {
+            static const json empty = json::array();
+            this->known.insert(key);
+            if (!this->object.is_object() || !this->object.contains(key))
+            {
+                return empty;
+            }
+            const json& found = this->object[key];
+            if (!found.is_array())
+            {
+                this->report(key, "is not an array");
+                return empty;
+            }
+            return found;
+        }
+
+        void report_unknown_keys()
+        {
+            if (!this->object.is_object())
+            {
+                return;
+            }
+            for (const auto& [key, value] : this->object.items())
+            {
+                if (this->known.count(key) == 0)
+                {
+                    this->report(key, "is not a known key");
+                }
+            }
+        }
+
+        void report(const std::string& key, const std::string& cause)
+        {
+            this->reasons.push_back(core::error::make(
+                "read configuration", this->path + "/" + key, cause));
+        }
+
+    private:
+        template <class Value>
+        Value convert(const char* key, Value fallback)
+        {
+            const json& found = this->object[key];
+            const bool fits = std::is_same_v<Value, std::string>
+                ? found.is_string()
+                : std::is_same_v<Value, bool> ? found.is_boolean()
+                : std::is_unsigned_v<Value>   ? found.is_number_unsigned()
+                : std::is_integral_v<Value>   ? found.is_number_integer()
+                                              : found.is_number();
+            if (!fits)
+            {
+                this->report(key, "has the wrong type");
+                return fallback;
+            }
+            return found.get<Value>();
+        }
+
+        const json& object;
+        std::string path;
+        std::vector<core::error>& reasons;
+        std::set<std::string> known;
+    };
+
+    /// Adds the item to the list, or the reason to the faults.
+    template <class Item>
+    void keep(std::optional<Item> item, const core::error& reason,
+        std::vector<Item>& items, std::vector<core::error>& reasons)
+    {
+        if (item)
+        {
+            items.push_back(std::move(*item));
+        }
+        else
+        {
+            reasons.push_back(reason);
+        }
+    }
+
+    std::optional<service_settings> read_service(
+        object_reader& reader, core::error& reason)
+    {
+        rank_shares shares{};
+        shares[core::index_of(core::rank::standard)]
+            = reader.read_or("minimum_share_standard", 0.0);
+        shares[core::index_of(core::rank::background)]
+            = reader.read_or("minimum_share_background", 0.0);
+        const core::service_id id(reader.read("id", std::string()));
+        const double floor = reader.read("floor", 0.0);
+        const core::slot_count slots(
+            reader.read<std::int64_t>("slots_per_worker", 1));
+        const int connections = reader.read("connections_per_worker", 1);
+        reader.report_unknown_keys();
+        return service_settings::create(
+            id, floor, slots, connections, shares, reason);
+    }
+
+    std::optional<kind_settings> read_kind(
+        object_reader& reader, core::error& reason)
+    {
+        const core::kind_id id(reader.read("id", std::string()));
+        const core::service_id service(reader.read("service", std::string()));
+        const bool is_idempotent = reader.read("idempotent", false);
+        const auto rank_name = reader.read("rank", std::string("background"));
+        const auto rank = core::parse_rank(rank_name);
+        if (!rank)
+        {
+            reader.report("rank", "is none of urgent, standard and background");
+        }
+        const core::milliseconds timeout(
+            reader.read<std::int64_t>("timeout_ms", 1));
+        const core::byte_count max_body(
+            reader.read<std::uint64_t>("max_body_bytes", 0));
+        reader.report_unknown_keys();
+        return kind_settings::create(id, service, is_idempotent,
+            rank.value_or(core::rank::background), timeout, max_body, reason);
+    }
+
+    std::optional<route> read_route(object_reader& reader, core::error& reason)
+    {
+        auto method = reader.read("method", std::string());
+        auto prefix = reader.read("path_prefix", std::string());
+        core::kind_id kind(reader.read("kind", std::string()));
+        reader.report_unknown_keys();
+        return route::create(
+            std::move(method), std::move(prefix), std::move(kind), reason);
+    }
+
+    template <class Item, class Read>
+    std::vector<Item> read_items(object_reader& parent, const char* key,
+        Read read, std::vector<core::error>& reasons)
+    {
+        std::vector<Item> items;
+        const json& array = parent.read_array(key);
+        for (std::size_t i = 0; i < array.size(); ++i)
+        {
+            object_reader reader(array[i],
+                std::string("/") + key + "/" + std::to_string(i), reasons);
+            core::error reason;
+            auto item = read(reader, reason);
+            keep(std::move(item), reason, items, reasons);
+        }
+        return items;
+    }
+
+    json encode_service(const service_settings& value)
+    {
+        return json{
+            { "id", value.get_id().str() },
+            { "floor", value.get_floor() },
+            { "slots_per_worker", value.get_slots_per_worker().get() },
+            { "connections_per_worker", value.get_connections_per_worker() },
+            { "minimum_share_standard",
+                value.get_minimum_share(core::rank::standard) },
+            { "minimum_share_background",
+                value.get_minimum_share(core::rank::background) },
+        };
+    }
+
+    json encode_kind(const kind_settings& value)
+    {
+        return json{
+            { "id", value.get_id().str() },
+            { "service", value.get_service().str() },
+            { "idempotent", value.is_idempotent() },
+            { "rank", std::string(core::to_string(value.get_rank())) },
+            { "timeout_ms", value.get_timeout().count() },
+            { "max_body_bytes", value.get_max_body().get() },
+        };
+    }
+
+    json encode_route(const route& value)
+    {
+        return json{
+            { "method", value.get_method() },
+            { "path_prefix", value.get_path_prefix() },
+            { "kind", value.get_kind().str() },
+        };
+    }
+
+} // namespace
+
+std::optional<configuration> decode_configuration(
+    std::string_view text, std::vector<core::error>& reasons)
+{
+    const json document = json::parse(text, nullptr, false);
+    if (document.is_discarded())
+    {
+        reasons.push_back(
+            core::error::make("read configuration", "/", "is not valid JSON"));
+        return std::nullopt;
+    }
+    const std::size_t faults_before = reasons.size();
+    object_reader reader(document, "", reasons);
+    const core::version_number number(reader.read<std::uint64_t>("number", 0));
+    const core::milliseconds max_timeout(
+        reader.read<std::int64_t>("max_timeout_ms", 1));
+    auto services = read_items<service_settings>(
+        reader, "services", read_service, reasons);
+    auto kinds = read_items<kind_settings>(reader, "kinds", read_kind, reasons);
+    auto routes = read_items<route>(reader, "routes", read_route, reasons);
+    std::vector<core::patch_id> patches;
+    for (const json& patch : reader.read_array("patches"))
+    {
+        if (patch.is_string())
+        {
+            patches.emplace_back(patch.get<std::string>());
+        }
+        else
+        {
+            reader.report("patches", "holds an id that is not a string");
+        }
+    }
+    reader.report_unknown_keys();
+    auto made
+        = configuration::create(number, std::move(services), std::move(kinds),
+            std::move(routes), max_timeout, std::move(patches), reasons);
+    return reasons.size() == faults_before ? std::move(made) : std::nullopt;
+}
+
+std::string encode_configuration(const configuration& value)
+{
+    json document = {
+        { "number", value.get_number().get() },
+        { "max_timeout_ms", value.get_max_timeout().count() },
+        { "services", json::array() },
+        { "kinds", json::array() },
+        { "routes", json::array() },
+        { "patches", json::array() },
+    };
+    for (const service_settings& each : value.get_services())
+    {
+        document["services"].push_back(encode_service(each));
+    }
+    for (const kind_settings& each : value.get_kinds())
+    {
+        document["kinds"].push_back(encode_kind(each));
+    }
+    for (const route& each : value.get_routes())
+    {
+        document["routes"].push_back(encode_route(each));
+    }
+    for (const core::patch_id& each : value.get_patches())
+    {
+        document["patches"].push_back(each.str());
+    }
+    return document.dump();
+}
+
+} // namespace pollenward::operators
--- /dev/null
+++ b/src/upstream/dispatch_result.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "core/error.hpp"
+#include "core/header_field.hpp"
+#include "core/ids.hpp"
+#include "upstream/attempt_result.hpp"
+
+#include <compare>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace pollenward::upstream {
+
+/// A whole response of a worker.
+class response_message {
+public:
+    static response_message make(
+        unsigned status, core::header_fields headers, std::string body)
+    {
+        response_message made;
+        made.status = status;
+        made.headers = std::move(headers);
+        made.body = std::move(body);
+        return made;
+    }
+
+    unsigned get_status() const { return this->status; }
+    const core::header_fields& get_headers() const { return this->headers; }
+    const std::string& get_body() const { return this->body; }
+
+    auto operator<=>(const response_message&) const = default;
+
+private:
+    unsigned status = 0;
+    core::header_fields headers;
+    std::string body;
+};
+
+/// How a forwarded request ended after all its attempts. `certainty` is
+/// run_certainty::not_run only if every attempt was certainly not run.
+class dispatch_result {
+public:
+    static dispatch_result answered(response_message response)
+    {
+        dispatch_result made;
+        made.certainty = run_certainty::ran;
+        made.response = std::move(response);
+        return made;
+    }
+
+    static dispatch_result failed(run_certainty certainty, core::error cause)
+    {
+        dispatch_result made;
+        made.certainty = certainty;
+        made.cause = std::move(cause);
+        return made;
+    }
+
+    run_certainty get_certainty() const { return this->certainty; }
+    const core::error& get_cause() const { return this->cause; }
+
+    const std::optional<response_message>& get_response() const
+    {
+        return this->response;
+    }
+
+    auto operator<=>(const dispatch_result&) const = default;
+
+private:
+    run_certainty certainty = run_certainty::not_run;
+    std::optional<response_message> response;
+    core::error cause;
+};
+
+} // namespace pollenward::upstream
--- /dev/null
+++ b/tests/caller/route_table_test.cpp
@@ -0,0 +1,50 @@
+#include "caller/route_table.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace pollenward;
+
+namespace {
+
+operators::configuration make_configuration()
+{
+    core::error reason;
+    std::vector<core::error> reasons;
+    const auto service = operators::service_settings::create(
+        core::service_id("ballots"), 0.5, core::slot_count(6), 400, {}, reason);
+    std::vector<operators::kind_settings> kinds;
+    std::vector<operators::route> routes;
+    const auto add = [&](const char* kind, const char* prefix) {
+        kinds.push_back(*operators::kind_settings::create(core::kind_id(kind),
+            core::service_id("ballots"), true, core::rank::urgent,
+            core::milliseconds(100), core::byte_count(10), reason));
+        routes.push_back(*operators::route::create(
+            "GET", prefix, core::kind_id(kind), reason));
+    };
+    add("root", "/");
+    add("tally", "/tallies");
+    add("round", "/tallies/rounds/");
+    return *operators::configuration::create(core::version_number(1),
+        { *service }, kinds, routes, core::milliseconds(1000), {}, reasons);
+}
+
+std::string kind_of(std::string_view method, std::string_view path)
+{
+    const auto table = caller::route_table::make(make_configuration());
+    const auto kind = table.find(method, path);
+    return kind ? kind->get_id().str() : "none";
+}
+
+} // namespace
+
+// Guards against "/talliesX" being taken for "/tallies".
+TEST_CASE("the longest prefix of whole segments wins", "[caller]")
+{
+    CHECK(kind_of("GET", "/tallies") == "tally");
+    CHECK(kind_of("GET", "/tallies/7") == "tally");
+    CHECK(kind_of("GET", "/tallies/rounds/1") == "round");
+    CHECK(kind_of("GET", "/talliesX") == "root");
+    CHECK(kind_of("GET", "/") == "root");
+    CHECK(kind_of("POST", "/tallies") == "none");
+    CHECK(kind_of("GET", "") == "none");
+}
