--- a/src/caller/claim_grant.hpp
+++ b/src/caller/claim_grant.hpp
@@ -22,7 +22,7 @@
 
 /// Longest time between the start of a claim and the send to a worker. A
 /// daemon that was paused for longer must not use its grant.
-inline constexpr core::seconds max_grant_age { 2 };
+inline constexpr core::seconds max_grant_age{ 2 };
 
 /// The result of a claim on a request id.
 class claim_grant {
--- a/src/fleet/evidence_report.hpp
+++ b/src/fleet/evidence_report.hpp
@@ -85,7 +85,7 @@
     core::service_id service;
     std::uint64_t sequence = 0;
     std::vector<evidence_entry> entries;
-    rank_demand demand {};
+    rank_demand demand{};
 };
 
 } // namespace pollenward::fleet
--- a/src/fleet/verdict_reply.hpp
+++ b/src/fleet/verdict_reply.hpp
@@ -54,7 +54,7 @@
 private:
     std::vector<upstream::verdict> verdicts;
     double share = 0;
-    core::milliseconds share_validity {};
+    core::milliseconds share_validity{};
     bool overloaded = false;
     std::vector<core::worker_id> draining;
 };
--- a/src/upstream/verdict.hpp
+++ b/src/upstream/verdict.hpp
@@ -42,7 +42,7 @@
     core::worker_id worker;
     worker_state state = worker_state::active;
     double weight = 1;
-    core::milliseconds remaining {};
+    core::milliseconds remaining{};
     int ejections = 0;
 };
 
