--- /dev/null
+++ b/src/caller/claim_service.hpp
@@ -0,0 +1,262 @@
+#pragma once
+
+#include "caller/caller_request.hpp"
+#include "caller/claim_decision.hpp"
+#include "caller/claim_question.hpp"
+#include "caller/claim_roster.hpp"
+#include "caller/claim_table.hpp"
+#include "core/sharded_map.hpp"
+#include "core/sharded_snapshot.hpp"
+#include "upstream/request_fingerprint.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+
+#include <atomic>
+#include <concepts>
+#include <cstdint>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace pollenward::caller {
+
+/// Carries claims to their owners on other daemons.
+template <class Type>
+concept claim_transport = requires(Type& type, const core::daemon_id& owner,
+    const claim_question& question, claim_state state,
+    claim_partition partition, core::version_number version,
+    const claim_roster& roster) {
+    // Answers claim_verdict::no_reply if the owner does not answer in time.
+    {
+        type.ask(owner, question)
+    } -> std::same_as<boost::asio::awaitable<claim_answer>>;
+    // Sends in the background; a loss leaves the claim until it expires.
+    {
+        type.tell(owner, question, state)
+    } -> std::same_as<void>;
+    {
+        type.copy(owner, partition, version)
+    } -> std::same_as<
+        boost::asio::awaitable<std::optional<std::vector<claim_record>>>>;
+    // Whether more than half of the roster's members were heard lately.
+    {
+        type.hears_majority(roster)
+    } -> std::same_as<bool>;
+};
+
+/// Claims request ids before non-idempotent requests are sent, and answers the
+/// claims of other daemons.
+template <claim_transport Transport>
+class claim_service {
+public:
+    claim_service(core::daemon_id self, core::incarnation_number incarnation,
+        Transport& transport)
+        : self(std::move(self))
+        , incarnation(incarnation)
+        , transport(transport)
+        , table(this->self, incarnation)
+        , roster(claim_roster())
+    {
+    }
+
+    /// Claims the id of a request at both owners.
+    boost::asio::awaitable<claim_grant> claim(const caller_request& request)
+    {
+        const auto started_at = core::runtime_clock::now();
+        if (!needs_claim(request))
+        {
+            co_return claim_grant::make(
+                claim_status::not_needed, "", started_at);
+        }
+        pending_claim pending = this->make_pending(request);
+        // Released on every way out but a grant, cancellation included, so
+        // that the caller can send the request again.
+        release_unless_granted release{ *this, pending };
+        const auto answers = co_await this->ask_all(pending);
+        const auto grant = decide_claim(answers, started_at);
+        if (grant.get_status() == claim_status::granted)
+        {
+            release.is_granted = true;
+            this->granted.store(request.get_id(), std::move(pending));
+        }
+        co_return grant;
+    }
+
+    /// Tells the owners how a claimed request ended. Does nothing for requests
+    /// that were not granted a claim.
+    void settle(const caller_request& request, claim_state state)
+    {
+        if (const auto pending = this->granted.take(request.get_id()))
+        {
+            this->tell_all(*pending, state);
+        }
+    }
+
+    /// Takes a newer roster into force.
+    void install_roster(const claim_roster& next, core::time_point now)
+    {
+        this->table.install_roster(next, now);
+        this->roster.store(next);
+    }
+
+    claim_roster get_roster() const
+    {
+        return this->roster.read(
+            [](const claim_roster& value) { return value; });
+    }
+
+    /// Answers a claim of any daemon.
+    claim_answer on_claim(const claim_question& question, core::time_point now)
+    {
+        return this->table.claim(question.get_id(), question.get_fingerprint(),
+            question.get_holder(), question.get_roster_version(),
+            this->transport.hears_majority(this->get_roster()), now);
+    }
+
+    void on_settle(
+        const core::request_id& id, const claimant& holder, claim_state state)
+    {
+        this->table.settle(id, holder, state);
+    }
+
+    std::optional<std::vector<claim_record>> on_copy(claim_partition partition,
+        core::version_number version, core::time_point now)
+    {
+        return this->table.copy(partition, version, now);
+    }
+
+    /// Asks the other owner of each partition that is not ready for its
+    /// claims, one partition after the other. Returns how many became ready.
+    boost::asio::awaitable<std::size_t> copy_missing()
+    {
+        std::size_t copied = 0;
+        for (const auto partition :
+            this->table.unready_partitions(core::runtime_clock::now()))
+        {
+            copied += co_await this->copy_partition(partition) ? 1 : 0;
+        }
+        co_return copied;
+    }
+
+    std::size_t expire(core::time_point now) { return this->table.expire(now); }
+
+    /// Claims remembered as an owner.
+    std::size_t size() { return this->table.size(); }
+
+    /// Partitions that are owned but cannot grant claims yet.
+    std::size_t count_unready(core::time_point now)
+    {
+        return this->table.unready_partitions(now).size();
+    }
+
+private:
+    /// A claim on its way: whom it was asked of, and as what.
+    struct pending_claim {
+        std::vector<core::daemon_id> owners;
+        claim_question question;
+    };
+
+    struct release_unless_granted {
+        claim_service& service;
+        const pending_claim pending;
+        bool is_granted = false;
+
+        ~release_unless_granted()
+        {
+            if (!this->is_granted)
+            {
+                this->service.tell_all(this->pending, claim_state::not_run);
+            }
+        }
+    };
+
+    pending_claim make_pending(const caller_request& request)
+    {
+        const auto present = this->get_roster();
+        const auto fingerprint = upstream::fingerprint_of(
+            request.get_kind().get_id(), request.get_message());
+        const auto holder = claimant::make(
+            this->self, this->incarnation, ++this->last_number);
+        return { present.owners_of(partition_of(request.get_id())),
+            claim_question::make(
+                request.get_id(), fingerprint, holder, present.get_version()) };
+    }
+
+    boost::asio::awaitable<std::vector<claim_answer>> ask_all(
+        const pending_claim& pending)
+    {
+        using namespace boost::asio::experimental::awaitable_operators;
+        std::vector<claim_answer> answers;
+        if (pending.owners.size() == 2)
+        {
+            auto [first, second]
+                = co_await (this->ask(pending.owners[0], pending.question)
+                    && this->ask(pending.owners[1], pending.question));
+            answers = { first, second };
+        }
+        else if (pending.owners.size() == 1)
+        {
+            answers.push_back(
+                co_await this->ask(pending.owners[0], pending.question));
+        }
+        co_return answers;
+    }
+
+    boost::asio::awaitable<claim_answer> ask(
+        core::daemon_id owner, claim_question question)
+    {
+        if (owner == this->self)
+        {
+            co_return this->on_claim(question, core::runtime_clock::now());
+        }
+        co_return co_await this->transport.ask(owner, question);
+    }
+
+    void tell_all(const pending_claim& pending, claim_state state)
+    {
+        for (const core::daemon_id& owner : pending.owners)
+        {
+            if (owner == this->self)
+            {
+                this->on_settle(pending.question.get_id(),
+                    pending.question.get_holder(), state);
+            }
+            else
+            {
+                this->transport.tell(owner, pending.question, state);
+            }
+        }
+    }
+
+    boost::asio::awaitable<bool> copy_partition(claim_partition partition)
+    {
+        const auto present = this->get_roster();
+        for (const core::daemon_id& owner : present.owners_of(partition))
+        {
+            if (owner == this->self)
+            {
+                continue;
+            }
+            const auto records = co_await this->transport.copy(
+                owner, partition, present.get_version());
+            if (records)
+            {
+                this->table.install_copy(partition, present.get_version(),
+                    *records, core::runtime_clock::now());
+                co_return true;
+            }
+        }
+        co_return false;
+    }
+
+    core::daemon_id self;
+    core::incarnation_number incarnation;
+    Transport& transport;
+    claim_table table;
+    core::sharded_snapshot<claim_roster> roster;
+    core::sharded_map<core::request_id, pending_claim> granted;
+    std::atomic<std::uint64_t> last_number{ 0 };
+};
+
+} // namespace pollenward::caller
