--- /dev/null
+++ b/tests/process/child_process.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace pollenward::test {
+
+/// A program of this project that a test runs. Killed when it goes out of
+/// scope.
+class child_process {
+public:
+    /// Starts a program of the build folder; its output goes to `log_file`.
+    static std::optional<child_process> start(const std::string& program,
+        const std::vector<std::string>& arguments, const std::string& log_file);
+
+    child_process(child_process&& other) noexcept;
+    child_process& operator=(child_process&& other) noexcept;
+    child_process(const child_process&) = delete;
+    child_process& operator=(const child_process&) = delete;
+    ~child_process();
+
+    void send_signal(int signal) const;
+
+    /// Waits for the end; the exit code, or 128 + the signal that ended it.
+    int wait();
+
+private:
+    explicit child_process(pid_t pid)
+        : pid(pid)
+    {
+    }
+
+    pid_t pid = -1;
+};
+
+} // namespace pollenward::test
--- /dev/null
+++ b/tests/process/eventually.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+
+namespace pollenward::test {
+
+/// Repeats a check on another process until it is true or the time is up; true
+/// if it became true. Processes offer nothing to wait on, so the check is
+/// repeated at short intervals.
+template <class Check>
+bool eventually(
+    Check check, std::chrono::seconds limit = std::chrono::seconds(30))
+{
+    constexpr std::chrono::milliseconds interval(20);
+    const auto end = std::chrono::steady_clock::now() + limit;
+    boost::asio::io_context context;
+    boost::asio::steady_timer timer(context);
+    while (!check())
+    {
+        if (std::chrono::steady_clock::now() >= end)
+        {
+            return false;
+        }
+        timer.expires_after(interval);
+        timer.wait();
+    }
+    return true;
+}
+
+} // namespace pollenward::test
