--- a/src/caller/claim_grant.hpp
+++ b/src/caller/claim_grant.hpp
@@ -3,6 +3,7 @@
 #include "core/runtime_clock.hpp"
 
 #include <compare>
+#include <cstddef>
 #include <string>
 #include <utility>
 
@@ -20,6 +21,8 @@
     refused
 };
 
+inline constexpr std::size_t claim_status_count = 4;
+
 /// Longest time between the start of a claim and the send to a worker. A
 /// daemon that was paused for longer must not use its grant.
 inline constexpr core::seconds max_grant_age{ 2 };
--- a/src/caller/claim_service.hpp
+++ b/src/caller/claim_service.hpp
@@ -12,6 +12,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 
+#include <array>
 #include <atomic>
 #include <concepts>
 #include <cstdint>
@@ -75,6 +76,7 @@
         release_unless_granted release{ *this, pending };
         const auto answers = co_await this->ask_all(pending);
         const auto grant = decide_claim(answers, started_at);
+        ++this->outcomes[static_cast<std::size_t>(grant.get_status())];
         if (grant.get_status() == claim_status::granted)
         {
             release.is_granted = true;
@@ -144,6 +146,12 @@
     /// Claims remembered as an owner.
     std::size_t size() { return this->table.size(); }
 
+    /// Claims of this daemon that ended so.
+    std::uint64_t count(claim_status status) const
+    {
+        return this->outcomes[static_cast<std::size_t>(status)].load();
+    }
+
     /// Partitions that are owned but cannot grant claims yet.
     std::size_t count_unready(core::time_point now)
     {
@@ -257,6 +265,7 @@
     core::sharded_snapshot<claim_roster> roster;
     core::sharded_map<core::request_id, pending_claim> granted;
     std::atomic<std::uint64_t> last_number{ 0 };
+    std::array<std::atomic<std::uint64_t>, claim_status_count> outcomes{};
 };
 
 } // namespace pollenward::caller
--- a/src/caller/partition_claims.cpp
+++ b/src/caller/partition_claims.cpp
@@ -1,5 +1,7 @@
 #include "caller/partition_claims.hpp"
 
+#include <algorithm>
+
 namespace pollenward::caller {
 
 void partition_claims::start_owning(
@@ -98,6 +100,8 @@
     {
         all.push_back(record);
     }
+    // Sorted, so that a copy can be sent in pages.
+    std::sort(all.begin(), all.end());
     return all;
 }
 
--- /dev/null
+++ b/src/main/configuration_in_force.cpp
@@ -0,0 +1,70 @@
+#include "main/configuration_in_force.hpp"
+
+namespace pollenward::main {
+
+configuration_in_force::configuration_in_force()
+    : present(state())
+{
+}
+
+bool configuration_in_force::store(const operators::configuration& next)
+{
+    // Two versions can arrive at once; the later one must stay.
+    const std::lock_guard lock(this->storing);
+    if (next.get_number() <= this->get_number())
+    {
+        return false;
+    }
+    this->present.store({ next, caller::route_table::make(next) });
+    return true;
+}
+
+core::version_number configuration_in_force::get_number() const
+{
+    return this->present.read([](const state& value) {
+        return value.configuration ? value.configuration->get_number()
+                                   : core::version_number(0);
+    });
+}
+
+std::optional<operators::configuration> configuration_in_force::get() const
+{
+    return this->present.read(
+        [](const state& value) { return value.configuration; });
+}
+
+std::vector<operators::service_settings>
+configuration_in_force::get_services() const
+{
+    return this->present.read([](const state& value) {
+        return value.configuration ? value.configuration->get_services()
+                                   : std::vector<operators::service_settings>();
+    });
+}
+
+std::optional<operators::service_settings> configuration_in_force::find_service(
+    const core::service_id& id) const
+{
+    return this->present.read(
+        [&](const state& value) -> std::optional<operators::service_settings> {
+            return value.configuration ? value.configuration->find_service(id)
+                                       : std::nullopt;
+        });
+}
+
+std::optional<operators::kind_settings> configuration_in_force::find(
+    std::string_view method, std::string_view path) const
+{
+    return this->present.read(
+        [&](const state& value) { return value.routes.find(method, path); });
+}
+
+core::milliseconds configuration_in_force::max_timeout() const
+{
+    return this->present.read([](const state& value) {
+        return value.configuration ? value.configuration->get_max_timeout()
+                                   : core::milliseconds(1);
+    });
+}
+
+} // namespace pollenward::main
--- a/src/main/daemon.cpp
+++ b/src/main/daemon.cpp
@@ -1,15 +1,9 @@
 #include "main/daemon.hpp"
 
-#include "core/runtime_timer.hpp"
-#include "operators/configuration_json.hpp"
-#include "platform/host_list_json.hpp"
-
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <easylogging++.h>
 
+#include <chrono>
 #include <utility>
-#include <vector>
 
 namespace pollenward::main {
 
@@ -17,119 +11,107 @@
 
 namespace {
 
-    constexpr core::milliseconds refresh_interval{ 1000 };
-
-} // namespace
-
-routes_in_force::routes_in_force()
-    : table(caller::route_table())
-    , longest(core::milliseconds(1))
-{
-}
-
-std::optional<operators::kind_settings> routes_in_force::find(
-    std::string_view method, std::string_view path) const
-{
-    return this->table.read([&](const caller::route_table& routes) {
-        return routes.find(method, path);
-    });
-}
+    std::uint64_t unix_ms()
+    {
+        return static_cast<std::uint64_t>(
+            std::chrono::duration_cast<core::milliseconds>(
+                std::chrono::system_clock::now().time_since_epoch())
+                .count());
+    }
 
-core::milliseconds routes_in_force::max_timeout() const
-{
-    return this->longest.read([](core::milliseconds value) { return value; });
-}
+    /// Wall clock minus runtime clock, in milliseconds.
+    std::uint64_t wall_clock_base()
+    {
+        const auto runtime = std::chrono::duration_cast<core::milliseconds>(
+            core::runtime_clock::now().time_since_epoch());
+        return unix_ms() - static_cast<std::uint64_t>(runtime.count());
+    }
 
-void routes_in_force::store(const operators::configuration& configuration)
-{
-    this->longest.store(configuration.get_max_timeout());
-    this->table.store(caller::route_table::make(configuration));
-}
+} // namespace
 
 daemon::daemon(asio::io_context& context, settings chosen)
     : context(context)
     , chosen(std::move(chosen))
+    , incarnation(unix_ms())
+    , standings(this->configuration, this->workers)
     , store(this->chosen.get_platform_endpoint())
-    , in_force(std::nullopt)
-    , upstreams(this->workers)
-    , requests(this->upstreams)
-    , callers(context, this->routes, this->requests)
+    , fleet(context, this->chosen, this->incarnation)
+    , claims_link(this->fleet)
+    , claims(this->chosen.get_id(), this->incarnation, this->claims_link)
+    , guard(this->fleet)
+    , homes(this->chosen.get_zone(), wall_clock_base())
+    , board(this->configuration, this->workers, this->claims, this->fleet)
+    , router(this->homes, this->claims, this->guard)
+    , dispatcher(
+          context.get_executor(), this->standings, this->standings, this->guard)
+    , upstreams(this->dispatcher, this->guard)
+    , limits(this->dispatcher, this->configuration)
+    , gate(this->limits)
+    , sync(context, this->store, this->fleet)
+    , keeper(context, this->store, this->claims, this->claims_link, this->fleet)
+    , evidence(context, this->configuration, this->workers, this->standings,
+          this->dispatcher, this->gate, this->homes, this->fleet)
+    , terms(context, this->configuration, this->workers, this->dispatcher,
+          this->fleet)
+    , requests(
+          this->gate, this->claims, this->guard, this->upstreams, this->metrics)
+    , callers(context, this->configuration, this->requests)
+    , view({ this->configuration, this->store, this->sync, this->fleet,
+          this->claims, this->guard, this->dispatcher, this->metrics })
+    , admin(context, this->view)
 {
 }
 
 bool daemon::start(core::error& reason)
 {
-    if (!this->callers.listen(this->chosen.get_caller_endpoint(), reason))
+    const bool is_listening = this->fleet.start(this->board, this->router,
+                                  this->chosen.get_seeds(), reason)
+        && this->admin.listen(this->chosen.get_operator_endpoint(), reason)
+        && this->callers.listen(this->chosen.get_caller_endpoint(), reason);
+    if (!is_listening)
     {
         return false;
     }
-    asio::co_spawn(this->context, this->refresh_all(), asio::detached);
+    this->sync.start();
+    this->keeper.start();
+    this->evidence.start();
+    this->terms.start();
     return true;
 }
 
-asio::awaitable<void> daemon::refresh_all()
+asio::awaitable<void> daemon::drain()
 {
-    while (true)
+    LOG(INFO) << "draining";
+    this->view.begin_drain();
+    co_await core::wait_until(
+        core::runtime_clock::now() + this->chosen.get_drain_delay());
+    this->callers.stop_accepting();
+    this->callers.begin_drain();
+    const bool is_idle = co_await this->callers.wait_until_idle(
+        core::runtime_clock::now() + this->chosen.get_drain_limit());
+    if (!is_idle)
     {
-        co_await this->refresh_configuration();
-        const auto services = this->in_force.read(
-            [](const std::optional<operators::configuration>& present) {
-                return present ? present->get_services()
-                               : std::vector<operators::service_settings>{};
-            });
-        for (const auto& service : services)
-        {
-            co_await this->refresh_workers(service.get_id());
-        }
-        co_await core::wait_until(
-            core::runtime_clock::now() + refresh_interval);
+        this->cut();
     }
+    co_await this->fleet.leave();
+    this->stop_loops();
+    LOG(INFO) << "drained";
 }
 
-asio::awaitable<void> daemon::refresh_configuration()
+void daemon::cut()
 {
-    core::error reason;
-    const auto object = co_await this->store.get(
-        core::document_name("configuration"), reason);
-    if (!object)
-    {
-        co_return;
-    }
-    std::vector<core::error> faults;
-    auto next = operators::decode_configuration(object->get_value(), faults);
-    const auto present = this->in_force.read(
-        [](const std::optional<operators::configuration>& value) {
-            return value ? value->get_number() : core::version_number(0);
-        });
-    if (next && next->get_number() > present)
-    {
-        LOG(INFO) << "configuration " << next->get_number() << " in force";
-        this->routes.store(*next);
-        this->in_force.store(std::move(next));
-    }
+    const auto requests_cut = this->callers.cut();
+    this->metrics.add("requests_cut", requests_cut);
+    LOG(WARNING) << requests_cut << " requests cut";
 }
 
-asio::awaitable<void> daemon::refresh_workers(core::service_id service)
+void daemon::stop_loops()
 {
-    core::error reason;
-    const auto object = co_await this->store.get(
-        core::document_name("hosts/" + service.str()), reason);
-    if (!object)
-    {
-        co_return;
-    }
-    const auto rows = platform::decode_host_list(object->get_value(), reason);
-    if (!rows)
-    {
-        co_return;
-    }
-    std::vector<upstream::worker> listed;
-    for (const platform::host_entry& row : *rows)
-    {
-        listed.push_back(upstream::worker::make(core::worker_id(row.get_id()),
-            row.get_address(), row.get_zone(), row.is_leaving()));
-    }
-    this->workers.store(service, std::move(listed));
+    this->sync.stop();
+    this->keeper.stop();
+    this->evidence.stop();
+    this->terms.stop();
+    this->fleet.stop();
 }
 
 } // namespace pollenward::main
--- a/src/main/daemon.hpp
+++ b/src/main/daemon.hpp
@@ -2,36 +2,31 @@
 
 #include "caller/http_server.hpp"
 #include "caller/request_flow.hpp"
-#include "caller/route_table.hpp"
-#include "core/sharded_snapshot.hpp"
+#include "main/admin_view.hpp"
+#include "main/claim_link.hpp"
+#include "main/configuration_in_force.hpp"
+#include "main/dispatch_link.hpp"
+#include "main/document_board.hpp"
+#include "main/evidence_loop.hpp"
+#include "main/fleet_port.hpp"
+#include "main/guard_link.hpp"
+#include "main/home_desk.hpp"
+#include "main/message_router.hpp"
+#include "main/platform_sync.hpp"
+#include "main/roster_keeper.hpp"
 #include "main/settings.hpp"
-#include "operators/configuration.hpp"
+#include "main/terms_loop.hpp"
+#include "main/worker_standings.hpp"
+#include "operators/admin_server.hpp"
+#include "operators/metrics.hpp"
 #include "platform/object_client.hpp"
-#include "upstream/dispatcher.hpp"
 #include "upstream/worker_directory.hpp"
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
-#include <optional>
-#include <string_view>
-
 namespace pollenward::main {
 
-/// The routes of the configuration in force.
-class routes_in_force {
-public:
-    routes_in_force();
-
-    std::optional<operators::kind_settings> find(
-        std::string_view method, std::string_view path) const;
-    core::milliseconds max_timeout() const;
-    void store(const operators::configuration& configuration);
-
-private:
-    core::sharded_snapshot<caller::route_table> table;
-    core::sharded_snapshot<core::milliseconds> longest;
-};
-
 /// All parts of the daemon, connected.
 class daemon {
 public:
@@ -41,22 +36,47 @@
     /// reason, if a listener cannot be bound.
     bool start(core::error& reason);
 
+    /// Leaves the fleet without cutting a request: fails the balancer's check,
+    /// stops accepting after the drain delay, and returns when all requests
+    /// have ended or the drain limit is over; then cuts the rest.
+    boost::asio::awaitable<void> drain();
+
+    /// Cuts all requests in flight now.
+    void cut();
+
 private:
-    using flow = caller::request_flow<upstream::dispatcher>;
+    using flow = caller::request_flow<admission_gate, claim_service, guard_link,
+        dispatch_link, operators::metrics>;
 
-    boost::asio::awaitable<void> refresh_all();
-    boost::asio::awaitable<void> refresh_configuration();
-    boost::asio::awaitable<void> refresh_workers(core::service_id service);
+    void stop_loops();
 
     boost::asio::io_context& context;
     settings chosen;
-    platform::object_client store;
-    core::sharded_snapshot<std::optional<operators::configuration>> in_force;
-    routes_in_force routes;
+    core::incarnation_number incarnation;
+    operators::metrics metrics;
+    configuration_in_force configuration;
     upstream::worker_directory workers;
-    upstream::dispatcher upstreams;
+    worker_standings standings;
+    platform::object_client store;
+    fleet_port fleet;
+    claim_link claims_link;
+    claim_service claims;
+    guard_link guard;
+    home_desk homes;
+    document_board board;
+    message_router router;
+    worker_dispatcher dispatcher;
+    dispatch_link upstreams;
+    service_limits limits;
+    admission_gate gate;
+    platform_sync sync;
+    roster_keeper keeper;
+    evidence_loop evidence;
+    terms_loop terms;
     flow requests;
-    caller::http_server<routes_in_force, flow> callers;
+    caller::http_server<configuration_in_force, flow> callers;
+    admin_view view;
+    operators::admin_server<admin_view> admin;
 };
 
 } // namespace pollenward::main
--- /dev/null
+++ b/src/main/evidence_loop.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "caller/admission_gate.hpp"
+#include "core/ids.hpp"
+#include "core/runtime_timer.hpp"
+#include "fleet/evidence_report.hpp"
+#include "fleet/verdict_reply.hpp"
+#include "main/dispatch_link.hpp"
+#include "main/fleet_port.hpp"
+#include "main/home_desk.hpp"
+#include "main/worker_standings.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace pollenward::main {
+
+using admission_gate = caller::admission_gate<service_limits>;
+
+/// Reports this daemon's evidence and demand to the homes of the services that
+/// it uses, takes their verdicts and shares, and, where this daemon is a home,
+/// exchanges summaries with the homes in the other zones.
+class evidence_loop {
+public:
+    evidence_loop(boost::asio::io_context& context,
+        const configuration_in_force& configuration,
+        const upstream::worker_directory& workers, worker_standings& standings,
+        worker_dispatcher& dispatcher, admission_gate& gate, home_desk& homes,
+        fleet_port& fleet);
+
+    void start();
+    void stop() { this->stopped = true; }
+
+private:
+    /// What the loop keeps of one service between two turns.
+    struct service_progress {
+        fleet::rank_demand demand{};
+        core::time_point reported_at = core::time_point::min();
+        core::time_point summarised_at = core::time_point::min();
+        bool is_waiting_for_home = false;
+        bool has_evidence = false;
+    };
+
+    using entries_by_service
+        = std::map<core::service_id, std::vector<fleet::evidence_entry>>;
+
+    boost::asio::awaitable<void> run();
+    void turn(core::time_point now);
+    entries_by_service collect(core::time_point now);
+    void average_demand(
+        const core::service_id& service, service_progress& progress);
+    void report(const core::service_id& service,
+        std::vector<fleet::evidence_entry> entries, core::time_point now);
+    boost::asio::awaitable<void> send_report(
+        core::daemon_id home, fleet::evidence_report report);
+    void take_reply(
+        const core::service_id& service, const fleet::verdict_reply& reply);
+    void act_as_home(const operators::service_settings& service,
+        const std::vector<fleet::zone_daemon>& live, core::time_point now);
+    fleet::service_view view_of(const operators::service_settings& service,
+        const std::vector<fleet::zone_daemon>& live,
+        core::time_point now) const;
+
+    boost::asio::strand<boost::asio::io_context::executor_type> strand;
+    const configuration_in_force& configuration;
+    const upstream::worker_directory& workers;
+    worker_standings& standings;
+    worker_dispatcher& dispatcher;
+    admission_gate& gate;
+    home_desk& homes;
+    fleet_port& fleet;
+    std::map<core::service_id, service_progress> services;
+    std::uint64_t sequence;
+    std::atomic<bool> stopped{ false };
+};
+
+} // namespace pollenward::main
--- a/src/main/pollenwardd.cpp
+++ b/src/main/pollenwardd.cpp
@@ -3,8 +3,12 @@
 #include "main/settings.hpp"
 
 #include <CLI/CLI.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <easylogging++.h>
 
 #include <csignal>
@@ -37,6 +41,22 @@
     return chosen;
 }
 
+/// The first signal starts a graceful shutdown; the second ends it at once.
+boost::asio::awaitable<void> wait_for_signals(
+    boost::asio::io_context& context, main::daemon& daemon)
+{
+    using namespace boost::asio::experimental::awaitable_operators;
+    boost::asio::signal_set signals(context, SIGINT, SIGTERM);
+    co_await signals.async_wait(boost::asio::use_awaitable);
+    const auto ended = co_await (
+        daemon.drain() || signals.async_wait(boost::asio::use_awaitable));
+    if (ended.index() != 0)
+    {
+        daemon.cut();
+    }
+    context.stop();
+}
+
 int run(const main::settings& chosen)
 {
     boost::asio::io_context context(chosen.get_threads());
@@ -47,15 +67,16 @@
         LOG(ERROR) << reason;
         return main::to_int(main::exit_code::failure);
     }
-    boost::asio::signal_set signals(context, SIGINT, SIGTERM);
-    signals.async_wait([&](auto, int) { context.stop(); });
+    boost::asio::co_spawn(
+        context, wait_for_signals(context, daemon), boost::asio::detached);
     LOG(INFO) << "serving as " << chosen.get_id();
-    std::vector<std::jthread> threads;
-    for (int i = 1; i < chosen.get_threads(); ++i)
     {
-        threads.emplace_back([&] { context.run(); });
+        std::vector<std::jthread> threads;
+        for (int i = 0; i < chosen.get_threads(); ++i)
+        {
+            threads.emplace_back([&] { context.run(); });
+        }
     }
-    context.run();
     return main::to_int(main::exit_code::success);
 }
 
--- /dev/null
+++ b/src/main/terms_loop.cpp
@@ -0,0 +1,65 @@
+#include "main/terms_loop.hpp"
+
+#include "core/runtime_timer.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <utility>
+
+namespace pollenward::main {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr core::milliseconds refresh_interval{ 500 };
+
+} // namespace
+
+void terms_loop::start()
+{
+    asio::co_spawn(this->context, this->run(), asio::detached);
+}
+
+asio::awaitable<void> terms_loop::run()
+{
+    while (!this->stopped)
+    {
+        std::vector<upstream::subset_daemon> daemons;
+        for (const fleet::zone_daemon& each : this->fleet.live_daemons())
+        {
+            daemons.push_back(upstream::subset_daemon::make(
+                each.get_daemon(), each.get_zone()));
+        }
+        for (const auto& service : this->configuration.get_services())
+        {
+            this->refresh(service, daemons);
+        }
+        co_await core::wait_until(
+            core::runtime_clock::now() + refresh_interval);
+    }
+}
+
+void terms_loop::refresh(const operators::service_settings& service,
+    const std::vector<upstream::subset_daemon>& daemons)
+{
+    const auto& id = service.get_id();
+    inputs present{ daemons, this->workers.find(id), service };
+    const auto last = this->known.find(id);
+    if (last != this->known.end() && last->second == present)
+    {
+        return;
+    }
+    const auto slots = service.get_slots_per_worker();
+    const core::slot_count all_slots(
+        slots.get() * static_cast<std::int64_t>(present.workers.size()));
+    auto subset = upstream::find_subset(this->fleet.self().get_id(), daemons,
+        present.workers, service.get_connections_per_worker());
+    this->dispatcher.get_state().store_terms(id,
+        upstream::service_terms::make(slots, all_slots,
+            static_cast<std::int64_t>(daemons.size()), std::move(subset)));
+    this->known.insert_or_assign(id, std::move(present));
+}
+
+} // namespace pollenward::main
--- /dev/null
+++ b/src/main/worker_standings.cpp
@@ -0,0 +1,101 @@
+#include "main/worker_standings.hpp"
+
+#include "upstream/floor.hpp"
+
+namespace pollenward::main {
+
+std::vector<upstream::worker_standing> worker_standings::find(
+    const core::service_id& service) const
+{
+    const auto now = core::runtime_clock::now();
+    const auto settings = this->configuration.find_service(service);
+    const auto held = this->verdicts.find(service);
+    return upstream::usable_workers(this->workers.find(service),
+        held.value_or(std::vector<upstream::held_verdict>()),
+        this->draining(service, now), this->avoidance.avoided(service, now),
+        settings ? settings->get_floor() : 1, now);
+}
+
+void worker_standings::record(const core::service_id& service,
+    const core::worker_id& who, upstream::attempt_result result,
+    core::duration /*latency*/, core::time_point now)
+{
+    using upstream::attempt_result;
+    this->avoidance.record(service, who, result, now);
+    switch (result)
+    {
+    case attempt_result::answered:
+        this->evidence.record(service, who, false, now);
+        return;
+    case attempt_result::not_sent:
+    case attempt_result::broken_after_send:
+    case attempt_result::timed_out:
+    case attempt_result::silent:
+        this->evidence.record(service, who, true, now);
+        this->failures.store(service, true);
+        return;
+    case attempt_result::refused_draining:
+        this->note_drain(who, upstream::drain_source::worker_answer, now);
+        return;
+    default:
+        return;
+    }
+}
+
+void worker_standings::store_verdicts(const core::service_id& service,
+    const fleet::verdict_reply& reply, core::time_point now)
+{
+    this->verdicts.store(
+        service, upstream::hold_verdicts(reply.get_verdicts(), now));
+    for (const core::worker_id& worker : reply.get_draining())
+    {
+        this->note_drain(worker, upstream::drain_source::peer, now);
+    }
+}
+
+void worker_standings::note_drain(const core::worker_id& worker,
+    upstream::drain_source source, core::time_point now)
+{
+    this->drains.update(
+        worker, [&](const std::optional<upstream::drain_state>& present) {
+            return std::optional(present.value_or(upstream::drain_state())
+                                     .with_word(source, now));
+        });
+}
+
+std::vector<core::worker_id> worker_standings::draining(
+    const core::service_id& service, core::time_point now) const
+{
+    std::vector<core::worker_id> leaving;
+    for (const upstream::worker& each : this->workers.find(service))
+    {
+        const auto state = this->drains.find(each.get_id());
+        if (upstream::is_leaving(each.is_leaving(), state, now))
+        {
+            leaving.push_back(each.get_id());
+        }
+    }
+    return leaving;
+}
+
+std::vector<core::worker_id> worker_standings::own_drains(
+    const core::service_id& service, core::time_point now) const
+{
+    std::vector<core::worker_id> leaving;
+    for (const upstream::worker& each : this->workers.find(service))
+    {
+        const auto state = this->drains.find(each.get_id());
+        if (state && state->is_own_knowledge(now))
+        {
+            leaving.push_back(each.get_id());
+        }
+    }
+    return leaving;
+}
+
+bool worker_standings::take_failure(const core::service_id& service)
+{
+    return this->failures.take(service).has_value();
+}
+
+} // namespace pollenward::main
