Add admission, the whole request flow and graceful shutdown for callers

Cause: the path from caller to worker admitted everything, said not-run without proof and could not stop without breaking connections. Conclusion: the public interfaces can be connected.

--- /dev/null
+++ b/src/caller/admission_decision.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "caller/admission_queue.hpp"
+#include "caller/admission_ticket.hpp"
+
+#include <compare>
+#include <optional>
+#include <utility>
+
+namespace pollenward::caller {
+
+/// The result of a wait for admission: a ticket, which has to be finished, or
+/// the reason of the refusal.
+class admission_decision {
+public:
+    static admission_decision admitted(admission_ticket ticket)
+    {
+        admission_decision made;
+        made.ticket = std::move(ticket);
+        return made;
+    }
+
+    static admission_decision refused(admission_refusal refusal)
+    {
+        admission_decision made;
+        made.refusal = refusal;
+        return made;
+    }
+
+    const std::optional<admission_ticket>& get_ticket() const
+    {
+        return this->ticket;
+    }
+
+    /// Meaningful without a ticket only.
+    admission_refusal get_refusal() const { return this->refusal; }
+
+    auto operator<=>(const admission_decision&) const = default;
+
+private:
+    std::optional<admission_ticket> ticket;
+    admission_refusal refusal = admission_refusal::queue_full;
+};
+
+} // namespace pollenward::caller
--- /dev/null
+++ b/src/caller/caller_link.cpp
@@ -0,0 +1,82 @@
+#include "caller/caller_link.hpp"
+
+#include "core/runtime_timer.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace pollenward::caller {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr std::size_t read_size = 4096;
+
+} // namespace
+
+caller_link::caller_link(asio::ip::tcp::socket socket)
+    : socket(std::move(socket))
+{
+    boost::system::error_code ignored;
+    this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
+asio::awaitable<std::size_t> caller_link::read_some()
+{
+    // No other wait between the read and the commit: a cancelled coroutine
+    // must not lose bytes that were read.
+    const auto [failure, count] = co_await this->socket.async_read_some(
+        this->buffer.prepare(read_size), asio::as_tuple(asio::use_awaitable));
+    this->buffer.commit(count);
+    co_return count;
+}
+
+asio::awaitable<void> caller_link::wait_for_end()
+{
+    std::size_t count = 1;
+    while (count > 0)
+    {
+        if (this->buffer.size() >= max_pipelined_bytes)
+        {
+            co_await core::wait_until(core::time_point::max());
+        }
+        count = co_await this->read_some();
+    }
+}
+
+asio::awaitable<void> caller_link::close_gently()
+{
+    boost::system::error_code ignored;
+    this->socket.shutdown(asio::socket_base::shutdown_send, ignored);
+    std::size_t count = 1;
+    while (count > 0)
+    {
+        this->buffer.clear();
+        count = co_await this->read_some();
+    }
+}
+
+void caller_link::close()
+{
+    boost::system::error_code ignored;
+    this->socket.close(ignored);
+}
+
+void caller_link::close_if_idle()
+{
+    if (this->is_idle && !this->has_unread_bytes())
+    {
+        this->close();
+    }
+}
+
+bool caller_link::has_unread_bytes() const
+{
+    boost::system::error_code ignored;
+    return this->buffer.size() > 0 || this->socket.available(ignored) > 0;
+}
+
+} // namespace pollenward::caller
--- a/src/caller/http_server.hpp
+++ b/src/caller/http_server.hpp
@@ -1,8 +1,11 @@
 #pragma once
 
 #include "caller/caller_answer.hpp"
+#include "caller/caller_link.hpp"
 #include "caller/caller_request.hpp"
-#include "caller/request_form.hpp"
+#include "caller/http_message.hpp"
+#include "caller/link_table.hpp"
+#include "caller/route_table.hpp"
 #include "core/endpoint.hpp"
 #include "core/error.hpp"
 #include "core/runtime_timer.hpp"
@@ -12,24 +15,34 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
 
 #include <concepts>
 #include <cstdint>
+#include <exception>
+#include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace pollenward::caller {
 
 /// Largest header block accepted, in bytes.
 inline constexpr std::uint32_t max_header_bytes = 16 * 1024;
-/// Time limits on reading from a caller.
+/// Time limits on reading from a caller and on writing to it.
 inline constexpr core::seconds idle_limit{ 60 };
 inline constexpr core::seconds header_limit{ 10 };
 inline constexpr core::seconds body_limit{ 30 };
+inline constexpr core::seconds write_limit{ 30 };
+/// How long a refused caller may take to close its side.
+inline constexpr core::seconds close_limit{ 2 };
+/// Pause after a failed accept. The usual cause, no free file descriptor,
+/// does not go away at once, and the loop must not spin.
+inline constexpr core::milliseconds accept_pause{ 100 };
 
 /// Finds the kind of a request and the longest time limit allowed.
 template <class Type>
@@ -58,7 +71,8 @@
     http_server(boost::asio::io_context& context, const Router& routes,
         Handler& handler)
         : context(context)
-        , acceptor(context)
+        , acceptor(boost::asio::make_strand(context))
+        , links(context)
         , routes(routes)
         , handler(handler)
     {
@@ -95,16 +109,42 @@
         {
             return failed("listen for callers");
         }
-        asio::co_spawn(this->context, this->accept_all(), asio::detached);
+        this->port = this->acceptor.local_endpoint().port();
+        asio::co_spawn(
+            this->acceptor.get_executor(), this->accept_all(), asio::detached);
         return true;
     }
 
+    /// The port that listen() bound.
+    std::uint16_t get_port() const { return this->port; }
+
+    /// Closes the listener; open connections go on.
+    void stop_accepting()
+    {
+        boost::asio::post(this->acceptor.get_executor(), [this] {
+            boost::system::error_code ignored;
+            this->acceptor.close(ignored);
+        });
+    }
+
+    /// Closes idle connections, and each other one after its next answer.
+    void begin_drain() { this->links.begin_drain(); }
+
+    /// Requests whose first byte was read and whose answer is not yet written.
+    std::size_t in_flight() const { return this->links.in_flight(); }
+
+    /// Waits until no request is in flight; false if some are at `limit`. To
+    /// be called after begin_drain().
+    boost::asio::awaitable<bool> wait_until_idle(core::time_point limit)
+    {
+        return this->links.wait_until_idle(limit);
+    }
+
+    /// Closes all connections; returns how many requests that cut off.
+    std::size_t cut() { return this->links.cut(); }
+
 private:
     using tcp = boost::asio::ip::tcp;
-    using parser
-        = boost::beast::http::request_parser<boost::beast::http::string_body>;
-    using response
-        = boost::beast::http::response<boost::beast::http::string_body>;
 
     boost::asio::awaitable<void> accept_all()
     {
@@ -116,130 +156,205 @@
                 asio::as_tuple(asio::use_awaitable));
             if (failure)
             {
+                co_await core::wait_until(
+                    core::runtime_clock::now() + accept_pause);
                 continue;
             }
             const auto executor = socket.get_executor();
-            asio::co_spawn(
-                executor, this->serve(std::move(socket)), asio::detached);
+            asio::co_spawn(executor,
+                this->serve(std::make_shared<caller_link>(std::move(socket))),
+                asio::detached);
         }
     }
 
-    boost::asio::awaitable<void> serve(tcp::socket socket)
+    boost::asio::awaitable<void> serve(std::shared_ptr<caller_link> link)
+    {
+        const std::uint64_t number = this->links.add(link);
+        try
+        {
+            co_await this->serve_requests(*link, number);
+        }
+        catch (const std::exception&)
+        {
+            // A failure of one connection must not end the others.
+            link->close();
+        }
+        this->links.remove(number);
+    }
+
+    boost::asio::awaitable<void> serve_requests(
+        caller_link& link, std::uint64_t number)
     {
-        socket.set_option(tcp::no_delay(true));
-        boost::beast::flat_buffer buffer;
         bool is_open = true;
-        while (is_open)
+        while (is_open && co_await this->wait_for_request(link))
+        {
+            this->links.begin_request(number);
+            is_open = co_await this->serve_one(link);
+            this->links.end_request(number);
+        }
+        if (!is_open)
         {
-            is_open = co_await this->serve_one(socket, buffer);
+            using namespace boost::asio::experimental::awaitable_operators;
+            co_await (link.close_gently() || this->wait_for(close_limit));
         }
+        link.close();
+    }
+
+    /// True when the first byte of a request has arrived.
+    boost::asio::awaitable<bool> wait_for_request(caller_link& link)
+    {
+        if (link.buffer.size() > 0)
+        {
+            co_return true;
+        }
+        if (this->links.is_draining() && !link.has_unread_bytes())
+        {
+            co_return false;
+        }
+        link.is_idle = true;
+        const auto count = co_await core::with_deadline(
+            link.read_some(), core::runtime_clock::now() + idle_limit);
+        link.is_idle = false;
+        co_return count.value_or(0) > 0;
     }
 
     /// Serves one request; false when the connection has to be closed.
-    boost::asio::awaitable<bool> serve_one(
-        tcp::socket& socket, boost::beast::flat_buffer& buffer)
+    boost::asio::awaitable<bool> serve_one(caller_link& link)
     {
         namespace http = boost::beast::http;
-        parser incoming;
+        http_parser incoming;
         incoming.header_limit(max_header_bytes);
-        const auto header_failure = co_await this->read_within(idle_limit,
-            http::async_read_header(socket, buffer, incoming, read_token()));
-        if (header_failure)
+        // The kind, which sets the limit, is known after the header only.
+        incoming.body_limit(boost::none);
+        const auto failure = co_await this->complete_within(header_limit,
+            http::async_read_header(
+                link.socket, link.buffer, incoming, as_result()));
+        if (failure)
         {
-            co_return false;
+            co_return co_await this->refuse_read(link, incoming, failure);
         }
-        const auto& header = incoming.get().base();
+        const auto& header = incoming.get();
         const auto kind = this->routes.find(
-            to_view(header.method_string()), path_of_target(header));
+            to_view(header.method_string()), path_of(to_view(header.target())));
         if (!kind)
         {
-            co_return co_await this->refuse(socket, incoming, 404, "no route");
+            co_return co_await this->refuse(
+                link, incoming, refusal(404, "no route"));
+        }
+        core::error reason;
+        const auto head = read_head(header, *kind, this->routes.max_timeout(),
+            core::runtime_clock::now(), reason);
+        if (!head)
+        {
+            co_return co_await this->refuse(
+                link, incoming, refusal(400, reason.describe()));
+        }
+        co_return co_await this->serve_body(link, incoming, *head);
+    }
+
+    boost::asio::awaitable<bool> serve_body(
+        caller_link& link, http_parser& incoming, const request_head& head)
+    {
+        namespace http = boost::beast::http;
+        const std::uint64_t limit = head.get_kind().get_max_body().get();
+        if (incoming.content_length().value_or(0) > limit)
+        {
+            co_return co_await this->refuse_read(
+                link, incoming, http::make_error_code(http::error::body_limit));
         }
-        incoming.body_limit(kind->get_max_body().get());
-        const auto body_failure = co_await this->read_within(body_limit,
-            http::async_read(socket, buffer, incoming, read_token()));
-        if (body_failure)
+        incoming.body_limit(limit);
+        if (is_continue_expected(incoming.get()) && !incoming.is_done()
+            && !co_await this->write_continue(link))
         {
             co_return false;
         }
-        co_return co_await this->answer(socket, incoming, *kind);
+        const auto failure = co_await this->complete_within(body_limit,
+            http::async_read(link.socket, link.buffer, incoming, as_result()));
+        if (failure)
+        {
+            co_return co_await this->refuse_read(link, incoming, failure);
+        }
+        co_return co_await this->run(link, incoming.get(), head);
     }
 
-    boost::asio::awaitable<bool> answer(tcp::socket& socket, parser& incoming,
-        const operators::kind_settings& kind)
+    /// Runs a whole request, and cancels it if the caller goes away.
+    boost::asio::awaitable<bool> run(caller_link& link,
+        const http_request& message, const request_head& head)
     {
-        core::error reason;
-        const auto request = this->to_request(incoming.get(), kind, reason);
-        if (!request)
+        using namespace boost::asio::experimental::awaitable_operators;
+        const auto answer
+            = co_await (this->handle(head.with_message(to_message(message)))
+                || link.wait_for_end());
+        if (answer.index() != 0)
         {
-            co_return co_await this->refuse(
-                socket, incoming, 400, reason.describe());
+            link.close();
+            co_return false;
         }
-        const auto answer = co_await this->handler.handle(*request);
-        response outgoing = to_response(answer, incoming.get().version());
-        outgoing.set("Request-Id", request->get_id().str());
-        co_return co_await this->write(
-            socket, std::move(outgoing), incoming.get().keep_alive());
+        co_return co_await this->write(link,
+            to_response(std::get<0>(answer), message, head.get_id()),
+            message.keep_alive());
     }
 
-    std::optional<caller_request> to_request(const parser::value_type& message,
-        const operators::kind_settings& kind, core::error& reason) const
+    boost::asio::awaitable<caller_answer> handle(caller_request request)
     {
-        const auto id_text = to_view(message["Request-Id"]);
-        std::optional<core::request_id> id = id_text.empty()
-            ? generate_request_id()
-            : parse_request_id(id_text, reason);
-        const auto timeout
-            = parse_timeout(to_view(message["Request-Timeout-Ms"]), kind,
-                this->routes.max_timeout(), reason);
-        if (!id || !timeout)
+        try
         {
-            return std::nullopt;
+            co_return co_await this->handler.handle(std::move(request));
         }
-        const auto account_text = to_view(message["Client-Account"]);
-        const core::account_id account(account_text.empty()
-                ? std::string("anonymous")
-                : std::string(account_text));
-        core::header_fields headers;
-        for (const auto& field : message)
+        catch (const std::exception& failure)
         {
-            if (is_end_to_end(field.name()))
-            {
-                headers.push_back(core::header_field::make(
-                    std::string(to_view(field.name_string())),
-                    std::string(to_view(field.value()))));
-            }
+            co_return caller_answer::without_body(
+                outcome::unknown(502, "request failed"));
         }
-        return caller_request::make(*id, !id_text.empty(), account, kind,
-            core::runtime_clock::now() + *timeout,
-            upstream::request_message::make(
-                std::string(to_view(message.method_string())),
-                std::string(to_view(message.target())), std::move(headers),
-                message.body()));
     }
 
-    boost::asio::awaitable<bool> refuse(tcp::socket& socket,
-        const parser& incoming, unsigned status, std::string reason)
+    boost::asio::awaitable<bool> refuse_read(caller_link& link,
+        const http_parser& incoming, boost::system::error_code failure)
     {
-        const auto answer = caller_answer::without_body(
-            outcome::not_run(status, std::move(reason)));
+        const auto answer = answer_to_failed_read(failure);
+        if (!answer)
+        {
+            link.close();
+            co_return false;
+        }
+        co_return co_await this->refuse(link, incoming, *answer);
+    }
+
+    /// Answers and ends the connection: the rest of the request is not read.
+    boost::asio::awaitable<bool> refuse(
+        caller_link& link, const http_parser& incoming, caller_answer answer)
+    {
+        const http_request& message = incoming.get();
         co_return co_await this->write(
-            socket, to_response(answer, incoming.get().version()), false);
+            link, to_response(answer, message, id_for_answer(message)), false);
     }
 
     boost::asio::awaitable<bool> write(
-        tcp::socket& socket, response outgoing, bool is_keep_alive)
+        caller_link& link, http_response outgoing, bool is_keep_alive)
     {
-        namespace asio = boost::asio;
-        outgoing.keep_alive(is_keep_alive);
-        outgoing.prepare_payload();
-        const auto [failure, count] = co_await boost::beast::http::async_write(
-            socket, outgoing, asio::as_tuple(asio::use_awaitable));
-        co_return !failure && is_keep_alive && count > 0;
+        const bool is_kept = is_keep_alive && !this->links.is_draining();
+        outgoing.keep_alive(is_kept);
+        const auto failure = co_await this->complete_within(write_limit,
+            boost::beast::http::async_write(
+                link.socket, outgoing, as_result()));
+        if (failure)
+        {
+            link.close();
+        }
+        co_return !failure && is_kept;
+    }
+
+    boost::asio::awaitable<bool> write_continue(caller_link& link)
+    {
+        http_response interim;
+        interim.result(boost::beast::http::status::continue_);
+        const auto failure = co_await this->complete_within(write_limit,
+            boost::beast::http::async_write(link.socket, interim, as_result()));
+        co_return !failure;
     }
 
     template <class Operation>
-    boost::asio::awaitable<boost::system::error_code> read_within(
+    boost::asio::awaitable<boost::system::error_code> complete_within(
         core::duration limit, Operation operation)
     {
         const auto done = co_await core::with_deadline(
@@ -249,76 +364,22 @@
             : boost::system::error_code(boost::asio::error::timed_out);
     }
 
-    static auto read_token()
+    static boost::asio::awaitable<void> wait_for(core::duration time)
     {
-        return boost::asio::as_tuple(boost::asio::use_awaitable);
-    }
-
-    static response to_response(const caller_answer& answer, unsigned version)
-    {
-        const outcome& result = answer.get_outcome();
-        response outgoing;
-        outgoing.version(version);
-        outgoing.result(result.get_status());
-        for (const auto& field : answer.get_headers())
-        {
-            outgoing.insert(field.get_name(), field.get_value());
-        }
-        outgoing.set(
-            "Request-Outcome", std::string(to_string(result.get_kind())));
-        if (!result.get_reason().empty())
-        {
-            outgoing.set("Outcome-Reason", result.get_reason());
-        }
-        if (const auto retry_after = result.get_retry_after())
-        {
-            const auto whole_seconds
-                = std::chrono::ceil<core::seconds>(*retry_after);
-            outgoing.set(boost::beast::http::field::retry_after,
-                std::to_string(whole_seconds.count()));
-        }
-        outgoing.body() = answer.get_body();
-        return outgoing;
+        return core::wait_until(core::runtime_clock::now() + time);
     }
 
-    template <class Header>
-    static std::string_view path_of_target(const Header& header)
+    static auto as_result()
     {
-        const std::string_view target = to_view(header.target());
-        return target.substr(0, target.find('?'));
-    }
-
-    static std::string_view to_view(boost::beast::string_view text)
-    {
-        return { text.data(), text.size() };
-    }
-
-    /// False for fields that concern one connection or that are set anew.
-    static bool is_end_to_end(boost::beast::http::field name)
-    {
-        using boost::beast::http::field;
-        switch (name)
-        {
-        case field::connection:
-        case field::keep_alive:
-        case field::proxy_connection:
-        case field::te:
-        case field::trailer:
-        case field::transfer_encoding:
-        case field::upgrade:
-        case field::content_length:
-        case field::host:
-        case field::expect:
-            return false;
-        default:
-            return true;
-        }
+        return boost::asio::as_tuple(boost::asio::use_awaitable);
     }
 
     boost::asio::io_context& context;
     tcp::acceptor acceptor;
+    link_table links;
     const Router& routes;
     Handler& handler;
+    std::uint16_t port = 0;
 };
 
 } // namespace pollenward::caller
--- a/src/caller/request_flow.hpp
+++ b/src/caller/request_flow.hpp
@@ -1,17 +1,52 @@
 #pragma once
 
+#include "caller/admission_decision.hpp"
 #include "caller/caller_answer.hpp"
 #include "caller/caller_request.hpp"
+#include "caller/claim_grant.hpp"
+#include "caller/flow_answers.hpp"
 #include "upstream/dispatch_result.hpp"
 #include "upstream/forward_request.hpp"
 
 #include <boost/asio/awaitable.hpp>
 
 #include <concepts>
+#include <optional>
 #include <utility>
 
 namespace pollenward::caller {
 
+/// Lets a request wait until its service has capacity. `finish` is called once
+/// for each ticket, with the time that the request ran on a worker, if it did.
+template <class Type>
+concept admission = requires(Type& type, const caller_request& request,
+    const core::service_id& service, const admission_ticket& ticket,
+    std::optional<core::duration> service_time) {
+    {
+        type.admit(request)
+    } -> std::same_as<boost::asio::awaitable<admission_decision>>;
+    type.finish(service, ticket, service_time);
+};
+
+/// Claims request ids, so that a request runs at most once. `settle` is called
+/// once for each claim that was granted.
+template <class Type>
+concept claims
+    = requires(Type& type, const caller_request& request, claim_state state) {
+          {
+              type.claim(request)
+          } -> std::same_as<boost::asio::awaitable<claim_grant>>;
+          type.settle(request, state);
+      };
+
+/// Knows the requests that crash the workers that run them.
+template <class Type>
+concept guard = requires(Type& type, const caller_request& request) {
+    {
+        type.is_blocked(request)
+    } -> std::same_as<bool>;
+};
+
 /// Sends an admitted request to a worker, with retries.
 template <class Type>
 concept dispatcher
@@ -21,45 +56,130 @@
           } -> std::same_as<boost::asio::awaitable<upstream::dispatch_result>>;
       };
 
-/// What the caller is told after a dispatch.
-inline caller_answer answer_of(const upstream::dispatch_result& result)
-{
-    if (const auto& response = result.get_response())
-    {
-        return caller_answer::make(outcome::answered(response->get_status()),
-            response->get_headers(), response->get_body());
-    }
-    const std::string reason = result.get_cause().describe();
-    if (result.get_certainty() == upstream::run_certainty::not_run)
-    {
-        constexpr core::milliseconds retry_after(1000);
-        return caller_answer::without_body(
-            outcome::not_run(503, reason, retry_after));
-    }
-    return caller_answer::without_body(outcome::unknown(502, reason));
-}
+/// Counts how requests ended and how long they took.
+template <class Type>
+concept recorder = requires(Type& type, core::rank rank,
+    const core::account_id& account, outcome_kind kind,
+    core::duration time) { type.record(rank, account, kind, time); };
 
 /// The path of one request from its admission to its answer.
-template <dispatcher Dispatcher>
+template <admission Admission, claims Claims, guard Guard,
+    dispatcher Dispatcher, recorder Recorder>
 class request_flow {
 public:
-    explicit request_flow(Dispatcher& upstreams)
-        : upstreams(upstreams)
+    request_flow(Admission& gate, Claims& claims, Guard& guard,
+        Dispatcher& upstreams, Recorder& records)
+        : gate(gate)
+        , claims_in_use(claims)
+        , crash_guard(guard)
+        , upstreams(upstreams)
+        , records(records)
     {
     }
 
     boost::asio::awaitable<caller_answer> handle(caller_request request)
+    {
+        progress state;
+        try
+        {
+            auto answer = co_await this->run(request, state);
+            this->close(request, state, answer.get_outcome().get_kind());
+            co_return answer;
+        }
+        catch (...)
+        {
+            // The caller went away, or a step failed. Only a request that
+            // was not passed to the dispatcher certainly did not run.
+            this->close(request, state,
+                state.sent_at ? outcome_kind::unknown : outcome_kind::not_run);
+            throw;
+        }
+    }
+
+private:
+    /// How far a request has come, for the steps that end it.
+    struct progress {
+        core::time_point started_at = core::runtime_clock::now();
+        std::optional<admission_ticket> ticket;
+        bool has_claim = false;
+        std::optional<core::time_point> sent_at;
+        upstream::run_certainty certainty = upstream::run_certainty::unknown;
+    };
+
+    boost::asio::awaitable<caller_answer> run(
+        const caller_request& request, progress& state)
+    {
+        const auto admitted = co_await this->gate.admit(request);
+        state.ticket = admitted.get_ticket();
+        if (!state.ticket)
+        {
+            co_return answer_of(admitted.get_refusal());
+        }
+        if (this->crash_guard.is_blocked(request))
+        {
+            co_return blocked_answer(request);
+        }
+        const auto grant = co_await this->claims_in_use.claim(request);
+        state.has_claim = grant.get_status() == claim_status::granted;
+        const auto now = core::runtime_clock::now();
+        if (!grant.is_usable(now))
+        {
+            co_return answer_of(grant);
+        }
+        if (now >= request.get_deadline())
+        {
+            co_return late_answer();
+        }
+        co_return co_await this->send(request, state);
+    }
+
+    boost::asio::awaitable<caller_answer> send(
+        const caller_request& request, progress& state)
     {
         const auto& kind = request.get_kind();
         const auto forward = upstream::forward_request::make(request.get_id(),
             kind.get_service(), kind.get_id(), kind.get_rank(),
             kind.is_idempotent(), request.get_deadline(),
             request.get_message());
-        co_return answer_of(co_await this->upstreams.dispatch(forward));
+        state.sent_at = core::runtime_clock::now();
+        const auto result = co_await this->upstreams.dispatch(forward);
+        state.certainty = result.get_certainty();
+        const bool is_late
+            = core::runtime_clock::now() >= request.get_deadline();
+        co_return answer_of(result, is_late);
     }
 
-private:
+    /// Settles the claim, gives the capacity back and records the outcome.
+    void close(
+        const caller_request& request, const progress& state, outcome_kind kind)
+    {
+        const auto now = core::runtime_clock::now();
+        const bool may_have_run = state.sent_at
+            && state.certainty != upstream::run_certainty::not_run;
+        if (state.has_claim)
+        {
+            this->claims_in_use.settle(request,
+                may_have_run ? claim_state::finished : claim_state::not_run);
+        }
+        if (state.ticket)
+        {
+            std::optional<core::duration> service_time;
+            if (may_have_run)
+            {
+                service_time = now - *state.sent_at;
+            }
+            this->gate.finish(
+                request.get_kind().get_service(), *state.ticket, service_time);
+        }
+        this->records.record(request.get_kind().get_rank(),
+            request.get_account(), kind, now - state.started_at);
+    }
+
+    Admission& gate;
+    Claims& claims_in_use;
+    Guard& crash_guard;
     Dispatcher& upstreams;
+    Recorder& records;
 };
 
 } // namespace pollenward::caller
--- a/src/caller/request_form.cpp
+++ b/src/caller/request_form.cpp
@@ -14,6 +14,12 @@
         return character > ' ' && character < '\x7f';
     }
 
+    bool is_visible_text(std::string_view text, std::size_t max_length)
+    {
+        return text.size() <= max_length
+            && std::all_of(text.begin(), text.end(), is_visible);
+    }
+
     std::mt19937_64 seeded_generator()
     {
         std::random_device device;
@@ -26,9 +32,7 @@
 std::optional<core::request_id> parse_request_id(
     std::string_view text, core::error& reason)
 {
-    const bool fits = !text.empty() && text.size() <= max_request_id_length
-        && std::all_of(text.begin(), text.end(), is_visible);
-    if (!fits)
+    if (text.empty() || !is_visible_text(text, max_request_id_length))
     {
         reason = core::error::make("check Request-Id", "caller",
             "is not 1 to 128 visible ASCII characters");
@@ -47,6 +51,18 @@
     return core::request_id(text.data());
 }
 
+std::optional<core::account_id> parse_account(
+    std::string_view text, core::error& reason)
+{
+    if (!is_visible_text(text, max_account_length))
+    {
+        reason = core::error::make("check Client-Account", "caller",
+            "is not at most 128 visible ASCII characters");
+        return std::nullopt;
+    }
+    return core::account_id(text.empty() ? "anonymous" : std::string(text));
+}
+
 std::optional<core::milliseconds> parse_timeout(std::string_view text,
     const operators::kind_settings& kind, core::milliseconds max_timeout,
     core::error& reason)
--- a/src/main/daemon.cpp
+++ b/src/main/daemon.cpp
@@ -52,7 +52,7 @@
     , store(this->chosen.get_platform_endpoint())
     , in_force(std::nullopt)
     , upstreams(this->workers)
-    , requests(this->upstreams)
+    , requests(this->gate, this->gate, this->gate, this->upstreams, this->gate)
     , callers(context, this->routes, this->requests)
 {
 }
--- a/src/main/daemon.hpp
+++ b/src/main/daemon.hpp
@@ -32,6 +32,39 @@
     core::sharded_snapshot<core::milliseconds> longest;
 };
 
+/// Takes the place of admission, claims, guard and recorder until they are
+/// connected: admits each request and records nothing.
+class open_gate {
+public:
+    boost::asio::awaitable<caller::admission_decision> admit(
+        const caller::caller_request& request)
+    {
+        co_return caller::admission_decision::admitted(
+            caller::admission_ticket::make(0, request.get_kind().get_rank(),
+                request.get_account(), request.get_deadline()));
+    }
+
+    void finish(const core::service_id&, const caller::admission_ticket&,
+        std::optional<core::duration>)
+    {
+    }
+
+    boost::asio::awaitable<caller::claim_grant> claim(
+        const caller::caller_request&)
+    {
+        co_return caller::claim_grant::make(
+            caller::claim_status::not_needed, {}, core::runtime_clock::now());
+    }
+
+    void settle(const caller::caller_request&, caller::claim_state) { }
+    bool is_blocked(const caller::caller_request&) { return false; }
+
+    void record(core::rank, const core::account_id&, caller::outcome_kind,
+        core::duration)
+    {
+    }
+};
+
 /// All parts of the daemon, connected.
 class daemon {
 public:
@@ -42,7 +75,8 @@
     bool start(core::error& reason);
 
 private:
-    using flow = caller::request_flow<upstream::dispatcher>;
+    using flow = caller::request_flow<open_gate, open_gate, open_gate,
+        upstream::dispatcher, open_gate>;
 
     boost::asio::awaitable<void> refresh_all();
     boost::asio::awaitable<void> refresh_configuration();
@@ -55,6 +89,7 @@
     routes_in_force routes;
     upstream::worker_directory workers;
     upstream::dispatcher upstreams;
+    open_gate gate;
     flow requests;
     caller::http_server<routes_in_force, flow> callers;
 };
