Add the decisions and the transport of the dispatcher

Cause: the dispatcher sent each request once, over a new connection, to a worker drawn from the request id. Change: choice, subset, retry budget, limits and drains as decision files; connection pool, attempt runner and a dispatcher over concepts.

--- a/src/main/daemon.cpp
+++ b/src/main/daemon.cpp
@@ -51,7 +51,9 @@
     , chosen(std::move(chosen))
     , store(this->chosen.get_platform_endpoint())
     , in_force(std::nullopt)
-    , upstreams(this->workers)
+    , standings(this->workers)
+    , upstreams(context.get_executor(), this->standings, this->unobserved,
+          this->unobserved)
     , requests(this->upstreams)
     , callers(context, this->routes, this->requests)
 {
--- a/src/main/daemon.hpp
+++ b/src/main/daemon.hpp
@@ -8,6 +8,7 @@
 #include "operators/configuration.hpp"
 #include "platform/object_client.hpp"
 #include "upstream/dispatcher.hpp"
+#include "upstream/listed_standings.hpp"
 #include "upstream/worker_directory.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -42,7 +43,9 @@
     bool start(core::error& reason);
 
 private:
-    using flow = caller::request_flow<upstream::dispatcher>;
+    using dispatcher = upstream::dispatcher<upstream::listed_standings,
+        upstream::no_observer, upstream::no_observer>;
+    using flow = caller::request_flow<dispatcher>;
 
     boost::asio::awaitable<void> refresh_all();
     boost::asio::awaitable<void> refresh_configuration();
@@ -54,7 +57,9 @@
     core::sharded_snapshot<std::optional<operators::configuration>> in_force;
     routes_in_force routes;
     upstream::worker_directory workers;
-    upstream::dispatcher upstreams;
+    upstream::listed_standings standings;
+    upstream::no_observer unobserved;
+    dispatcher upstreams;
     flow requests;
     caller::http_server<routes_in_force, flow> callers;
 };
--- a/src/upstream/attempt_result.hpp
+++ b/src/upstream/attempt_result.hpp
@@ -12,6 +12,8 @@
     refused_shed,
     /// The worker refused before running: it is leaving.
     refused_draining,
+    /// The worker refused before running: the deadline had passed.
+    refused_expired,
     /// No byte of the request was sent.
     not_sent,
     /// The connection broke after the request was sent in part or whole.
@@ -35,6 +37,7 @@
         return run_certainty::ran;
     case attempt_result::refused_shed:
     case attempt_result::refused_draining:
+    case attempt_result::refused_expired:
     case attempt_result::not_sent:
         return run_certainty::not_run;
     case attempt_result::broken_after_send:
@@ -46,6 +49,37 @@
     return run_certainty::unknown;
 }
 
+/// Whether an attempt is evidence that the worker fails. A refusal before
+/// running is load or a drain, not a fault; `status` is that of an answer.
+constexpr bool is_failure(attempt_result result, unsigned status)
+{
+    switch (result)
+    {
+    case attempt_result::answered:
+        return status >= 500;
+    case attempt_result::not_sent:
+    case attempt_result::broken_after_send:
+    case attempt_result::timed_out:
+    case attempt_result::silent:
+        return true;
+    case attempt_result::refused_shed:
+    case attempt_result::refused_draining:
+    case attempt_result::refused_expired:
+    case attempt_result::cancelled:
+        break;
+    }
+    return false;
+}
+
+/// The result that is recorded as evidence. An answer of 500 or more becomes
+/// broken_after_send, so that a record of results needs no status.
+constexpr attempt_result evidence_result(attempt_result result, unsigned status)
+{
+    return result == attempt_result::answered && is_failure(result, status)
+        ? attempt_result::broken_after_send
+        : result;
+}
+
 constexpr std::string_view to_string(attempt_result result)
 {
     switch (result)
@@ -56,6 +90,8 @@
         return "refused_shed";
     case attempt_result::refused_draining:
         return "refused_draining";
+    case attempt_result::refused_expired:
+        return "refused_expired";
     case attempt_result::not_sent:
         return "not_sent";
     case attempt_result::broken_after_send:
--- /dev/null
+++ b/src/upstream/concurrency_limit.cpp
@@ -0,0 +1,92 @@
+#include "upstream/concurrency_limit.hpp"
+
+#include <cmath>
+
+namespace pollenward::upstream {
+
+namespace {
+
+    constexpr double decrease_factor = 0.9;
+    /// Latency above the usual one by this factor means that requests queue at
+    /// the worker; kinds of one service differ by less on average.
+    constexpr double slow_factor = 2;
+    constexpr double recent_share = 0.1;
+    constexpr double usual_share = 0.005;
+    /// Answers to requests sent before a decrease still show the old limit.
+    constexpr core::milliseconds decrease_interval{ 100 };
+
+    double blend(double present, double sample, double share)
+    {
+        return present == 0 ? sample : present + share * (sample - present);
+    }
+
+} // namespace
+
+concurrency_limit concurrency_limit::make(
+    core::slot_count slots, double ceiling)
+{
+    concurrency_limit made;
+    made.ceiling = std::max(1.0, ceiling);
+    made.limit
+        = std::clamp(static_cast<double>(slots.get()), 1.0, made.ceiling);
+    return made;
+}
+
+concurrency_limit concurrency_limit::with_answer(
+    core::duration latency, int in_flight, core::time_point now) const
+{
+    const double sample = core::to_seconds(latency);
+    concurrency_limit next = *this;
+    next.recent_latency = blend(this->recent_latency, sample, recent_share);
+    next.usual_latency = blend(this->usual_latency, sample, usual_share);
+    if (next.recent_latency > slow_factor * next.usual_latency)
+    {
+        return next.with_decrease(now);
+    }
+    const bool is_in_use = in_flight * 2 >= this->limit;
+    if (is_in_use)
+    {
+        next.limit = std::min(this->ceiling, this->limit + 1 / this->limit);
+    }
+    return next;
+}
+
+concurrency_limit concurrency_limit::with_shed(core::time_point now) const
+{
+    return this->with_decrease(now);
+}
+
+concurrency_limit concurrency_limit::with_decrease(core::time_point now) const
+{
+    if (now < this->next_decrease)
+    {
+        return *this;
+    }
+    concurrency_limit next = *this;
+    next.limit = std::max(1.0, this->limit * decrease_factor);
+    next.next_decrease = now + decrease_interval;
+    return next;
+}
+
+core::slot_count safe_share(
+    core::slot_count service_slots, std::int64_t live_daemons)
+{
+    return core::slot_count(std::max<std::int64_t>(
+        1, service_slots.get() / std::max<std::int64_t>(1, live_daemons)));
+}
+
+core::slot_count service_limit(double learned_limit,
+    const std::optional<fleet_share>& share, core::slot_count safe,
+    core::time_point now)
+{
+    const core::slot_count learned(
+        std::max<std::int64_t>(1, std::llround(std::floor(learned_limit))));
+    if (!share || now >= share->get_expiry())
+    {
+        return std::min(learned, safe);
+    }
+    return share->is_overloaded() ? std::min(learned, share->get_slots())
+                                  : learned;
+}
+
+} // namespace pollenward::upstream
--- /dev/null
+++ b/src/upstream/concurrency_limit.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "core/runtime_clock.hpp"
+#include "core/units.hpp"
+
+#include <algorithm>
+#include <compare>
+#include <cstdint>
+#include <optional>
+
+namespace pollenward::upstream {
+
+/// Requests that one daemon keeps on one worker at a time, learned from its
+/// latencies and sheds: additive increase, multiplicative decrease.
+class concurrency_limit {
+public:
+    /// Starts at the worker's slots. `ceiling` is the number of connections
+    /// that this daemon may open to the worker.
+    static concurrency_limit make(core::slot_count slots, double ceiling);
+
+    double get_limit() const { return this->limit; }
+
+    /// After an answer, with the requests in flight when it was sent.
+    concurrency_limit with_answer(
+        core::duration latency, int in_flight, core::time_point now) const;
+    /// After a shed or a timeout.
+    concurrency_limit with_shed(core::time_point now) const;
+
+    auto operator<=>(const concurrency_limit&) const = default;
+
+private:
+    concurrency_limit with_decrease(core::time_point now) const;
+
+    double limit = 1;
+    double ceiling = 1;
+    /// Averages of the latency in seconds over about 10 and 200 answers; 0
+    /// before the first.
+    double recent_latency = 0;
+    double usual_latency = 0;
+    core::time_point next_decrease;
+};
+
+/// What the home of a service allots to this daemon.
+class fleet_share {
+public:
+    static fleet_share make(
+        core::slot_count slots, bool is_overloaded, core::time_point expiry)
+    {
+        fleet_share made;
+        made.slots = slots;
+        made.overloaded = is_overloaded;
+        made.expiry = expiry;
+        return made;
+    }
+
+    core::slot_count get_slots() const { return this->slots; }
+    /// Whether the fleet's demand for the service exceeds its slots.
+    bool is_overloaded() const { return this->overloaded; }
+    core::time_point get_expiry() const { return this->expiry; }
+
+    auto operator<=>(const fleet_share&) const = default;
+
+private:
+    core::slot_count slots;
+    bool overloaded = false;
+    core::time_point expiry;
+};
+
+/// The share that every daemon may use without a word from a home: all daemons
+/// together then use about the slots of the service.
+core::slot_count safe_share(
+    core::slot_count service_slots, std::int64_t live_daemons);
+
+/// Requests that this daemon may have in flight on a service. A valid share
+/// bounds the learned limit only while the fleet is overloaded, so that it does
+/// not throttle a burst at one daemon; without one the safe share applies.
+core::slot_count service_limit(double learned_limit,
+    const std::optional<fleet_share>& share, core::slot_count safe,
+    core::time_point now);
+
+} // namespace pollenward::upstream
--- /dev/null
+++ b/src/upstream/dispatch_state.cpp
@@ -0,0 +1,217 @@
+#include "upstream/dispatch_state.hpp"
+
+#include "upstream/retry_policy.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace pollenward::upstream {
+
+namespace {
+
+    concurrency_limit initial_limit(const service_terms& terms)
+    {
+        return concurrency_limit::make(
+            terms.get_slots_per_worker(), terms.get_connections());
+    }
+
+    worker worker_with_leaving(const worker& who, bool is_leaving)
+    {
+        return worker::make(
+            who.get_id(), who.get_address(), who.get_zone(), is_leaving);
+    }
+
+} // namespace
+
+void dispatch_state::store_terms(
+    const core::service_id& service, service_terms next)
+{
+    this->terms.store(service, std::move(next));
+}
+
+void dispatch_state::store_share(
+    const core::service_id& service, fleet_share share)
+{
+    this->shares.store(service, share);
+}
+
+void dispatch_state::set_overloaded(
+    const core::service_id& service, bool is_overloaded)
+{
+    this->overloaded.store(service, is_overloaded);
+}
+
+void dispatch_state::record_drain(
+    const core::worker_id& who, drain_source source, core::time_point now)
+{
+    this->drains.update(who, [&](const std::optional<drain_state>& present) {
+        return std::optional(
+            present.value_or(drain_state{}).with_word(source, now));
+    });
+    this->drains.erase_if([&](const core::worker_id&, const drain_state& each) {
+        return !each.is_leaving(now);
+    });
+}
+
+void dispatch_state::record_load(const core::worker_id& who, double hinted_load)
+{
+    this->activities.update(
+        who, [&](const std::optional<worker_activity>& present) {
+            return present
+                ? std::optional(present->with_hinted_load(hinted_load))
+                : std::nullopt;
+        });
+}
+
+std::vector<core::worker_id> dispatch_state::draining_workers(
+    core::time_point now) const
+{
+    std::vector<core::worker_id> found;
+    for (const auto& [who, state] : this->drains.entries())
+    {
+        if (state.is_own_knowledge(now))
+        {
+            found.push_back(who);
+        }
+    }
+    return found;
+}
+
+int dispatch_state::in_flight(const core::worker_id& who) const
+{
+    const auto activity = this->activities.find(who);
+    return activity ? activity->get_in_flight() : 0;
+}
+
+service_terms dispatch_state::terms_of(const core::service_id& service) const
+{
+    return this->terms.find(service).value_or(service_terms());
+}
+
+worker_candidates dispatch_state::candidates(const core::service_id& service,
+    const std::vector<worker_standing>& standings, core::time_point now) const
+{
+    const service_terms known = this->terms_of(service);
+    const auto& subset = known.get_subset();
+    worker_candidates found;
+    for (const worker_standing& each : standings)
+    {
+        const worker& who = each.get_worker();
+        if (subset && !subset->contains(who.get_id()))
+        {
+            continue;
+        }
+        const bool leaves = is_leaving(
+            who.is_leaving(), this->drains.find(who.get_id()), now);
+        const auto activity
+            = this->activities.find(who.get_id())
+                  .value_or(worker_activity::make(initial_limit(known)));
+        found.push_back(worker_candidate::make(
+            worker_standing::make(worker_with_leaving(who, leaves),
+                each.get_state(), each.get_weight()),
+            activity.get_in_flight(), activity.get_limit().get_limit(),
+            activity.get_hinted_load()));
+    }
+    return found;
+}
+
+core::slot_count dispatch_state::limit(const core::service_id& service,
+    const std::vector<worker_standing>& standings, core::time_point now) const
+{
+    double learned = 0;
+    for (const auto& each : this->candidates(service, standings, now))
+    {
+        const worker_standing& standing = each.get_standing();
+        const bool gets_work = !standing.get_worker().is_leaving()
+            && standing.get_state() != worker_state::ejected;
+        learned += gets_work ? each.get_limit() * standing.get_weight() : 0;
+    }
+    return service_limit(learned, this->shares.find(service),
+        this->terms_of(service).get_safe_share(), now);
+}
+
+bool dispatch_state::is_overloaded(
+    const core::service_id& service, core::time_point now) const
+{
+    const auto share = this->shares.find(service);
+    return this->overloaded.find(service).value_or(false)
+        || (share && share->is_overloaded() && now < share->get_expiry());
+}
+
+void dispatch_state::count_request(const forward_request& request)
+{
+    this->budgets.visit(
+        request.get_service(), [] { return rank_budgets(); },
+        [&](rank_budgets& ranks) {
+            auto& mine = ranks[core::index_of(request.get_rank())];
+            mine = mine.with_request();
+            return true;
+        });
+}
+
+bool dispatch_state::take_retry(const forward_request& request,
+    attempt_result result, int attempts, core::time_point now)
+{
+    const bool overload = this->is_overloaded(request.get_service(), now);
+    return this->budgets.visit(
+        request.get_service(), [] { return rank_budgets(); },
+        [&](rank_budgets& ranks) {
+            auto& mine = ranks[core::index_of(request.get_rank())];
+            if (decide_retry(request.is_idempotent(), result, attempts, mine,
+                    overload, request.get_deadline(), now)
+                == retry_decision::stop)
+            {
+                return false;
+            }
+            mine = mine.with_retry();
+            return true;
+        });
+}
+
+bool dispatch_state::take_budget(
+    const forward_request& request, core::time_point now)
+{
+    // An exchange on a silent connection is the one result that both kinds of
+    // repetition share; the number of workers tried does not matter here.
+    return this->take_retry(request, attempt_result::silent, 1, now);
+}
+
+int dispatch_state::start(
+    const core::service_id& service, const core::worker_id& who)
+{
+    const service_terms known = this->terms_of(service);
+    return this->activities.visit(
+        who, [&] { return worker_activity::make(initial_limit(known)); },
+        [&](worker_activity& mine) {
+            mine = mine.with_in_flight(mine.get_in_flight() + 1);
+            return mine.get_in_flight();
+        });
+}
+
+void dispatch_state::finish(const core::worker_id& who, attempt_result result,
+    core::duration latency, int in_flight, core::time_point now)
+{
+    this->activities.update(
+        who, [&](const std::optional<worker_activity>& present) {
+            if (!present)
+            {
+                return present;
+            }
+            const auto done
+                = present->with_in_flight(present->get_in_flight() - 1);
+            const concurrency_limit& limit = done.get_limit();
+            switch (result)
+            {
+            case attempt_result::answered:
+                return std::optional(done.with_limit(
+                    limit.with_answer(latency, in_flight, now)));
+            case attempt_result::refused_shed:
+            case attempt_result::timed_out:
+                return std::optional(done.with_limit(limit.with_shed(now)));
+            default:
+                return std::optional(done);
+            }
+        });
+}
+
+} // namespace pollenward::upstream
--- /dev/null
+++ b/src/upstream/dispatch_state.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "core/ids.hpp"
+#include "core/rank.hpp"
+#include "core/runtime_clock.hpp"
+#include "core/sharded_map.hpp"
+#include "core/units.hpp"
+#include "upstream/attempt_result.hpp"
+#include "upstream/drain_state.hpp"
+#include "upstream/forward_request.hpp"
+#include "upstream/retry_budget.hpp"
+#include "upstream/service_terms.hpp"
+#include "upstream/worker_activity.hpp"
+#include "upstream/worker_choice.hpp"
+
+#include <array>
+#include <optional>
+#include <vector>
+
+namespace pollenward::upstream {
+
+/// What one daemon keeps between requests to choose workers and to bound
+/// attempts and requests in flight.
+class dispatch_state {
+public:
+    void store_terms(const core::service_id& service, service_terms terms);
+    void store_share(const core::service_id& service, fleet_share share);
+    /// Told by the admission queue; no request is retried meanwhile.
+    void set_overloaded(const core::service_id& service, bool is_overloaded);
+    void record_drain(
+        const core::worker_id& who, drain_source source, core::time_point now);
+    void record_load(const core::worker_id& who, double hinted_load);
+
+    /// Workers that said to this daemon that they are leaving.
+    std::vector<core::worker_id> draining_workers(core::time_point now) const;
+
+    int in_flight(const core::worker_id& who) const;
+    core::slot_count limit(const core::service_id& service,
+        const std::vector<worker_standing>& standings,
+        core::time_point now) const;
+    service_terms terms_of(const core::service_id& service) const;
+    worker_candidates candidates(const core::service_id& service,
+        const std::vector<worker_standing>& standings,
+        core::time_point now) const;
+
+    void count_request(const forward_request& request);
+    /// Whether the request may be tried on another worker; if so, the attempt
+    /// is paid from the budget.
+    bool take_retry(const forward_request& request, attempt_result result,
+        int attempts, core::time_point now);
+    /// Pays for a second exchange with the same worker, if the budget allows.
+    bool take_budget(const forward_request& request, core::time_point now);
+
+    /// Returns the requests in flight on the worker, with the new one.
+    int start(const core::service_id& service, const core::worker_id& who);
+    void finish(const core::worker_id& who, attempt_result result,
+        core::duration latency, int in_flight, core::time_point now);
+
+private:
+    using rank_budgets = std::array<retry_budget, core::rank_count>;
+
+    bool is_overloaded(
+        const core::service_id& service, core::time_point now) const;
+
+    core::sharded_map<core::service_id, service_terms> terms;
+    core::sharded_map<core::service_id, fleet_share> shares;
+    core::sharded_map<core::service_id, bool> overloaded;
+    core::sharded_map<core::service_id, rank_budgets> budgets;
+    core::sharded_map<core::worker_id, worker_activity> activities;
+    core::sharded_map<core::worker_id, drain_state> drains;
+};
+
+} // namespace pollenward::upstream
--- /dev/null
+++ b/src/upstream/exchange_result.hpp
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "core/error.hpp"
+#include "upstream/attempt_result.hpp"
+#include "upstream/dispatch_result.hpp"
+
+#include <compare>
+#include <optional>
+#include <utility>
+
+namespace pollenward::upstream {
+
+/// How one HTTP exchange with a worker ended.
+class exchange_result {
+public:
+    static exchange_result answered(response_message response)
+    {
+        exchange_result made;
+        made.result = attempt_result::answered;
+        made.response = std::move(response);
+        return made;
+    }
+
+    static exchange_result failed(attempt_result result, core::error cause)
+    {
+        exchange_result made;
+        made.result = result;
+        made.cause = std::move(cause);
+        return made;
+    }
+
+    attempt_result get_result() const { return this->result; }
+    const core::error& get_cause() const { return this->cause; }
+
+    const std::optional<response_message>& get_response() const
+    {
+        return this->response;
+    }
+
+    /// Status of the answer, 0 if there is none.
+    unsigned get_status() const
+    {
+        return this->response ? this->response->get_status() : 0;
+    }
+
+    auto operator<=>(const exchange_result&) const = default;
+
+private:
+    attempt_result result = attempt_result::not_sent;
+    std::optional<response_message> response;
+    core::error cause;
+};
+
+} // namespace pollenward::upstream
--- /dev/null
+++ b/src/upstream/worker_call.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "core/endpoint.hpp"
+#include "core/runtime_clock.hpp"
+#include "upstream/dispatch_result.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <optional>
+#include <string>
+
+namespace pollenward::upstream {
+
+/// One control call to a worker (probe, load report, cancellation) on a
+/// connection of its own. Nothing if it did not end by the deadline. Must be
+/// awaited on a strand.
+boost::asio::awaitable<std::optional<response_message>> call_worker(
+    core::endpoint remote, std::string method, std::string target,
+    core::time_point deadline);
+
+} // namespace pollenward::upstream
--- a/src/upstream/worker_connection.cpp
+++ b/src/upstream/worker_connection.cpp
@@ -1,13 +1,20 @@
 #include "upstream/worker_connection.hpp"
 
 #include "core/runtime_timer.hpp"
+#include "upstream/cancel_request.hpp"
+#include "upstream/exchange_codec.hpp"
+#include "upstream/io_watchdog.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
-#include <chrono>
-#include <string>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
 #include <utility>
 
 namespace pollenward::upstream {
@@ -17,174 +24,219 @@
     namespace asio = boost::asio;
     namespace http = boost::beast::http;
     using asio::ip::tcp;
-    using http_request = http::request<http::string_body>;
-    using http_response = http::response<http::string_body>;
 
     constexpr auto token = asio::as_tuple(asio::use_awaitable);
+    constexpr core::milliseconds max_progress_limit{ 1000 };
+    /// Bounds the memory that one response may take.
+    constexpr std::uint64_t max_response_body = 16U << 20U;
 
-    /// The deadline as wall-clock time, which the worker can compare with its
-    /// own clock even if the request was delayed on the way.
-    std::int64_t to_unix_ms(core::time_point deadline)
-    {
-        const auto remaining = std::chrono::duration_cast<core::milliseconds>(
-            deadline - core::runtime_clock::now());
-        const auto wall = std::chrono::duration_cast<core::milliseconds>(
-            std::chrono::system_clock::now().time_since_epoch());
-        return (wall + remaining).count();
-    }
-
-    http_request encode(
-        const forward_request& request, const core::endpoint& remote)
-    {
-        const request_message& message = request.get_message();
-        http_request outgoing;
-        outgoing.version(11);
-        outgoing.method_string(message.get_method());
-        outgoing.target(message.get_target());
-        for (const auto& field : message.get_headers())
-        {
-            outgoing.insert(field.get_name(), field.get_value());
-        }
-        outgoing.set(http::field::host, remote.str());
-        outgoing.set("Request-Id", request.get_id().str());
-        outgoing.set(
-            "Request-Rank", std::string(core::to_string(request.get_rank())));
-        outgoing.set("Request-Deadline-Unix-Ms",
-            std::to_string(to_unix_ms(request.get_deadline())));
-        outgoing.body() = message.get_body();
-        outgoing.prepare_payload();
-        return outgoing;
-    }
-
-    bool is_connection_field(http::field name)
-    {
-        return name == http::field::connection
-            || name == http::field::keep_alive
-            || name == http::field::transfer_encoding
-            || name == http::field::content_length;
-    }
-
-    response_message decode(const http_response& incoming)
+    /// Lets the kernel find a dead peer: probes after 5 s idle, and unanswered
+    /// data or probes end the connection after 10 s.
+    void set_keepalive(tcp::socket& socket)
     {
-        core::header_fields headers;
-        for (const auto& field : incoming)
-        {
-            if (!is_connection_field(field.name()))
-            {
-                headers.push_back(
-                    core::header_field::make(std::string(field.name_string()),
-                        std::string(field.value())));
-            }
-        }
-        return response_message::make(
-            incoming.result_int(), std::move(headers), incoming.body());
+        const auto set = [&](int level, int name, int value) {
+            ::setsockopt(
+                socket.native_handle(), level, name, &value, sizeof value);
+        };
+        set(SOL_SOCKET, SO_KEEPALIVE, 1);
+        set(IPPROTO_TCP, TCP_KEEPIDLE, 5);
+        set(IPPROTO_TCP, TCP_KEEPINTVL, 2);
+        set(IPPROTO_TCP, TCP_KEEPCNT, 3);
+        set(IPPROTO_TCP, TCP_USER_TIMEOUT, 10000);
     }
 
-    exchange_result classify(const http_response& incoming)
+    /// A response without a length ends with the connection, and a truncated
+    /// one could not be told from a whole one.
+    template <class Parser>
+    bool has_known_end(Parser& parser)
     {
-        const auto state = incoming["Worker-State"];
-        const bool is_unavailable
-            = incoming.result() == http::status::service_unavailable;
-        if (is_unavailable && state == "shed")
-        {
-            return exchange_result::failed(attempt_result::refused_shed, {});
-        }
-        if (is_unavailable && state == "draining")
-        {
-            return exchange_result::failed(
-                attempt_result::refused_draining, {});
-        }
-        return exchange_result::answered(decode(incoming));
-    }
-
-    using transfer_result = std::pair<boost::system::error_code, http_response>;
-
-    asio::awaitable<transfer_result> transfer(
-        tcp::socket& socket, const http_request& outgoing)
-    {
-        auto [write_failure, written]
-            = co_await http::async_write(socket, outgoing, token);
-        if (write_failure)
-        {
-            co_return transfer_result(write_failure, {});
-        }
-        boost::beast::flat_buffer buffer;
-        http_response incoming;
-        auto [read_failure, read]
-            = co_await http::async_read(socket, buffer, incoming, token);
-        co_return transfer_result(read_failure, std::move(incoming));
+        return !parser.need_eof();
     }
 
 } // namespace
 
-exchange_result exchange_result::answered(response_message response)
+core::duration progress_limit(core::time_point deadline, core::time_point now)
 {
-    exchange_result made;
-    made.result = attempt_result::answered;
-    made.response = std::move(response);
-    return made;
-}
-
-exchange_result exchange_result::failed(
-    attempt_result result, core::error cause)
-{
-    exchange_result made;
-    made.result = result;
-    made.cause = std::move(cause);
-    return made;
+    return std::min<core::duration>(max_progress_limit, (deadline - now) / 3);
 }
 
 worker_connection::worker_connection(
     const asio::any_io_executor& executor, core::endpoint remote)
-    : socket(executor)
+    : executor(executor)
+    , socket(executor)
     , remote(std::move(remote))
 {
 }
 
+exchange_result worker_connection::failed(
+    attempt_result result, std::string cause) const
+{
+    return exchange_result::failed(result,
+        core::error::make(
+            "exchange with worker", this->remote.str(), std::move(cause)));
+}
+
+bool worker_connection::has_pending_input()
+{
+    char byte = 0;
+    const auto received = ::recv(
+        this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 asio::awaitable<bool> worker_connection::connect(
     core::time_point deadline, core::error& reason)
 {
     const tcp::endpoint target(
         asio::ip::make_address(this->remote.get_address()),
         this->remote.get_port());
-    const auto done = co_await core::with_deadline(
-        this->socket.async_connect(target, token), deadline);
-    const auto failure = done
-        ? std::get<0>(*done)
-        : boost::system::error_code(asio::error::timed_out);
+    boost::system::error_code failure;
+    this->socket.open(target.protocol(), failure);
+    if (!failure)
+    {
+        io_watchdog watchdog(this->socket, co_await asio::this_coro::executor);
+        watchdog.set_expiry(deadline);
+        auto [ended] = co_await this->socket.async_connect(target, token);
+        failure = watchdog.has_expired() ? asio::error::timed_out : ended;
+    }
     if (failure)
     {
         reason = core::error::make(
             "connect to worker", this->remote.str(), failure.message());
         co_return false;
     }
-    this->socket.set_option(tcp::no_delay(true));
+    boost::system::error_code ignored;
+    this->socket.set_option(tcp::no_delay(true), ignored);
+    set_keepalive(this->socket);
     co_return true;
 }
 
-asio::awaitable<exchange_result> worker_connection::exchange(
+asio::awaitable<attempt_result> worker_connection::failure_kind(
+    const io_watchdog& watchdog, core::time_point deadline) const
+{
+    const auto state = co_await asio::this_coro::cancellation_state;
+    if (this->written == 0)
+    {
+        co_return attempt_result::not_sent;
+    }
+    if (state.cancelled() != asio::cancellation_type::none)
+    {
+        co_return attempt_result::cancelled;
+    }
+    if (!watchdog.has_expired())
+    {
+        co_return attempt_result::broken_after_send;
+    }
+    co_return core::runtime_clock::now() < deadline ? attempt_result::silent
+                                                    : attempt_result::timed_out;
+}
+
+asio::awaitable<boost::system::error_code> worker_connection::write(
+    const forward_request& request)
+{
+    const std::string header = encode_header(request, this->remote);
+    boost::beast::buffers_suffix<std::array<asio::const_buffer, 2>> rest(
+        std::array<asio::const_buffer, 2>{ asio::buffer(header),
+            asio::buffer(request.get_message().get_body()) });
+    while (asio::buffer_size(rest) > 0)
+    {
+        if (this->has_pending_input())
+        {
+            this->answered_early = true;
+            if (this->written == 0)
+            {
+                co_return asio::error::connection_aborted;
+            }
+        }
+        auto [failure, count]
+            = co_await this->socket.async_write_some(rest, token);
+        this->written += count;
+        rest.consume(count);
+        if (failure)
+        {
+            co_return failure;
+        }
+    }
+    co_return boost::system::error_code{};
+}
+
+asio::awaitable<exchange_result> worker_connection::read(
+    const forward_request& request, io_watchdog& watchdog)
+{
+    boost::beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.eager(true);
+    parser.body_limit(max_response_body);
+    parser.skip(request.get_message().get_method() == "HEAD");
+    const core::time_point deadline = request.get_deadline();
+    const auto limit = progress_limit(deadline, core::runtime_clock::now());
+    while (!parser.is_done())
+    {
+        if (request.is_idempotent())
+        {
+            watchdog.set_expiry(
+                std::min(deadline, core::runtime_clock::now() + limit));
+        }
+        auto [failure, count] = co_await http::async_read_some(
+            this->socket, buffer, parser, token);
+        this->response_started = this->response_started || count > 0;
+        if (failure || watchdog.has_expired())
+        {
+            const auto kind = co_await this->failure_kind(watchdog, deadline);
+            co_return this->failed(kind, failure.message());
+        }
+    }
+    const auto& incoming = parser.get();
+    const bool names_request = incoming["Request-Id"] == request.get_id().str();
+    if (!has_known_end(parser) || (this->answered_early && !names_request))
+    {
+        co_return this->failed(attempt_result::broken_after_send,
+            "the response has no certain end or came before the request");
+    }
+    auto result = decode_response(incoming, request.get_id(), this->remote);
+    this->reusable = incoming.keep_alive() && buffer.size() == 0
+        && !this->answered_early
+        && result.get_result() != attempt_result::broken_after_send
+        && !this->has_pending_input();
+    co_return result;
+}
+
+asio::awaitable<exchange_result> worker_connection::exchange_once(
     const forward_request& request)
 {
     this->reusable = false;
-    const http_request outgoing = encode(request, this->remote);
-    const auto done = co_await core::with_deadline(
-        transfer(this->socket, outgoing), request.get_deadline());
-    const auto failed = [&](attempt_result result, const std::string& cause) {
-        return exchange_result::failed(result,
-            core::error::make(
-                "exchange with worker", this->remote.str(), cause));
-    };
-    if (!done)
+    this->response_started = false;
+    this->answered_early = false;
+    this->written = 0;
+    const core::time_point deadline = request.get_deadline();
+    io_watchdog watchdog(this->socket, co_await asio::this_coro::executor);
+    watchdog.set_expiry(deadline);
+    const auto write_failure = co_await this->write(request);
+    auto result = this->failed(co_await this->failure_kind(watchdog, deadline),
+        write_failure.message());
+    if (!write_failure && !watchdog.has_expired())
     {
-        co_return failed(attempt_result::timed_out, "deadline passed");
+        result = co_await this->read(request, watchdog);
     }
-    const auto& [failure, incoming] = *done;
-    if (failure)
+    if (!this->reusable)
+    {
+        boost::system::error_code ignored;
+        this->socket.close(ignored);
+    }
+    co_return result;
+}
+
+asio::awaitable<exchange_result> worker_connection::exchange(
+    const forward_request& request)
+{
+    auto result = co_await this->exchange_once(request);
+    const auto kind = result.get_result();
+    if (kind == attempt_result::cancelled || kind == attempt_result::timed_out
+        || kind == attempt_result::silent)
     {
-        co_return failed(attempt_result::broken_after_send, failure.message());
+        spawn_cancel(this->executor, this->remote, request.get_id());
     }
-    this->reusable = incoming.keep_alive();
-    co_return classify(incoming);
+    co_return result;
 }
 
 } // namespace pollenward::upstream
--- a/src/upstream/worker_connection.hpp
+++ b/src/upstream/worker_connection.hpp
@@ -3,41 +3,28 @@
 #include "core/endpoint.hpp"
 #include "core/error.hpp"
 #include "core/runtime_clock.hpp"
-#include "upstream/attempt_result.hpp"
-#include "upstream/dispatch_result.hpp"
+#include "upstream/exchange_result.hpp"
 #include "upstream/forward_request.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
-#include <optional>
+#include <cstddef>
+#include <string>
 
 namespace pollenward::upstream {
 
-/// How one HTTP exchange with a worker ended.
-class exchange_result {
-public:
-    static exchange_result answered(response_message response);
-    static exchange_result failed(attempt_result result, core::error cause);
-
-    attempt_result get_result() const { return this->result; }
-    const core::error& get_cause() const { return this->cause; }
-
-    const std::optional<response_message>& get_response() const
-    {
-        return this->response;
-    }
+class io_watchdog;
 
-private:
-    attempt_result result = attempt_result::not_sent;
-    std::optional<response_message> response;
-    core::error cause;
-};
+/// Time without any progress after which an exchange counts as silent: 1 s or
+/// a third of the time to the deadline.
+core::duration progress_limit(core::time_point deadline, core::time_point now);
 
 /// One connection to a worker. It carries one exchange at a time, and after an
 /// exchange that did not end with a whole response it is not reusable: a late
-/// response must never be read by the next request.
+/// response must never be read by the next request. A coroutine that uses it
+/// must run on a strand.
 class worker_connection {
 public:
     worker_connection(
@@ -47,16 +34,46 @@
     boost::asio::awaitable<bool> connect(
         core::time_point deadline, core::error& reason);
 
-    /// Sends the request and reads the whole response.
+    /// Sends the request and reads the whole response. When the caller cancels
+    /// or the deadline passes after the send, the worker is told to cancel. No
+    /// operation is started after a cancellation, so that the caller's
+    /// coroutine may go on without waiting.
     boost::asio::awaitable<exchange_result> exchange(
         const forward_request& request);
 
+    /// As exchange(), but the worker is not told to cancel.
+    boost::asio::awaitable<exchange_result> exchange_once(
+        const forward_request& request);
+
+    const core::endpoint& get_remote() const { return this->remote; }
+
+    /// Whether the last exchange left the connection fit for another.
     bool is_reusable() const { return this->reusable; }
 
+    /// Whether any byte of a response to the last request was read.
+    bool has_response_bytes() const { return this->response_started; }
+
+    /// Whether there are bytes to read or the worker closed the connection.
+    /// Either makes a connection without an exchange unusable.
+    bool has_pending_input();
+
 private:
+    boost::asio::awaitable<boost::system::error_code> write(
+        const forward_request& request);
+    boost::asio::awaitable<exchange_result> read(
+        const forward_request& request, io_watchdog& watchdog);
+    exchange_result failed(attempt_result result, std::string cause) const;
+    boost::asio::awaitable<attempt_result> failure_kind(
+        const io_watchdog& watchdog, core::time_point deadline) const;
+
+    boost::asio::any_io_executor executor;
     boost::asio::ip::tcp::socket socket;
     core::endpoint remote;
+    std::size_t written = 0;
     bool reusable = false;
+    bool response_started = false;
+    /// Bytes arrived before the request was written.
+    bool answered_early = false;
 };
 
 } // namespace pollenward::upstream
