Report a crash only when the worker is seen to be gone

Cause: a reused connection that breaks may have been closed by its idle limit. Change: for a request that cannot be repeated, a connection alone is opened; failing to open it counts as a crash.

--- a/src/upstream/attempt_runner.cpp
+++ b/src/upstream/attempt_runner.cpp
@@ -10,10 +10,10 @@
 
 namespace {
 
-    asio::awaitable<bool> is_cancelled()
+    /// No operation may be awaited after a cancellation: it would throw.
+    bool is_cancelled(const asio::cancellation_state& state)
     {
-        const auto state = co_await asio::this_coro::cancellation_state;
-        co_return state.cancelled() != asio::cancellation_type::none;
+        return state.cancelled() != asio::cancellation_type::none;
     }
 
     core::time_point connect_deadline(const forward_request& request)
@@ -33,8 +33,9 @@
     {
         const auto outcome = attempt_outcome::make(
             exchange_result::failed(attempt_result::not_sent, reason));
-        co_return co_await is_cancelled() ? outcome.with_evidence(std::nullopt)
-                                          : outcome;
+        const auto state = co_await asio::this_coro::cancellation_state;
+        co_return is_cancelled(state) ? outcome.with_evidence(std::nullopt)
+                                      : outcome;
     }
     auto outcome = attempt_outcome::make(co_await connection.exchange(request));
     co_return outcome.with_crash(
@@ -51,6 +52,17 @@
     const bool is_paid = certainty == run_certainty::not_run
         || (request.is_idempotent()
             && this->state.take_budget(request, core::runtime_clock::now()));
+    const bool has_broken
+        = first.get_result() == attempt_result::broken_after_send;
+    if (!is_paid && has_broken)
+    {
+        // A connection alone shows whether the worker is still there.
+        core::error reason;
+        const bool is_there = co_await lease.get_connection().connect(
+            connect_deadline(request), reason);
+        const auto state = co_await asio::this_coro::cancellation_state;
+        co_return unproved.with_crash(!is_there && !is_cancelled(state));
+    }
     if (!is_paid)
     {
         co_return unproved;
@@ -63,8 +75,8 @@
         ++this->faulty_connections;
     }
     // A worker that broke the first exchange and is gone now has crashed.
-    const bool is_gone = first.get_result() == attempt_result::broken_after_send
-        && result == attempt_result::not_sent && second.get_evidence();
+    const bool is_gone = has_broken && result == attempt_result::not_sent
+        && second.get_evidence();
     const bool is_uncertain = certainty == run_certainty::unknown
         && result != attempt_result::answered;
     co_return second.with_crash(second.is_crash() || is_gone)
@@ -97,7 +109,8 @@
         || result == attempt_result::silent
         || (result == attempt_result::broken_after_send
             && !connection.has_response_bytes());
-    if (!is_stale || co_await is_cancelled())
+    const auto state = co_await asio::this_coro::cancellation_state;
+    if (!is_stale || is_cancelled(state))
     {
         co_return attempt_outcome::make(std::move(first));
     }
--- a/src/upstream/worker_connection.cpp
+++ b/src/upstream/worker_connection.cpp
@@ -45,6 +45,11 @@
         set(IPPROTO_TCP, TCP_USER_TIMEOUT, 10000);
     }
 
+    bool is_cancelled(const asio::cancellation_state& state)
+    {
+        return state.cancelled() != asio::cancellation_type::none;
+    }
+
     /// A response without a length ends with the connection, and a truncated
     /// one could not be told from a whole one.
     template <class Parser>
@@ -108,27 +113,27 @@
     boost::system::error_code ignored;
     this->socket.set_option(tcp::no_delay(true), ignored);
     set_keepalive(this->socket);
+    this->reusable = true;
     co_return true;
 }
 
-asio::awaitable<attempt_result> worker_connection::failure_kind(
-    const io_watchdog& watchdog, core::time_point deadline) const
+attempt_result worker_connection::failure_kind(const io_watchdog& watchdog,
+    core::time_point deadline, bool is_cancelled) const
 {
-    const auto state = co_await asio::this_coro::cancellation_state;
     if (this->written == 0)
     {
-        co_return attempt_result::not_sent;
+        return attempt_result::not_sent;
     }
-    if (state.cancelled() != asio::cancellation_type::none)
+    if (is_cancelled)
     {
-        co_return attempt_result::cancelled;
+        return attempt_result::cancelled;
     }
     if (!watchdog.has_expired())
     {
-        co_return attempt_result::broken_after_send;
+        return attempt_result::broken_after_send;
     }
-    co_return core::runtime_clock::now() < deadline ? attempt_result::silent
-                                                    : attempt_result::timed_out;
+    return core::runtime_clock::now() < deadline ? attempt_result::silent
+                                                 : attempt_result::timed_out;
 }
 
 asio::awaitable<boost::system::error_code> worker_connection::write(
@@ -182,7 +187,9 @@
         this->response_started = this->response_started || count > 0;
         if (failure || watchdog.has_expired())
         {
-            const auto kind = co_await this->failure_kind(watchdog, deadline);
+            const auto state = co_await asio::this_coro::cancellation_state;
+            const auto kind
+                = this->failure_kind(watchdog, deadline, is_cancelled(state));
             co_return this->failed(kind, failure.message());
         }
     }
@@ -212,9 +219,15 @@
     io_watchdog watchdog(this->socket, co_await asio::this_coro::executor);
     watchdog.set_expiry(deadline);
     const auto write_failure = co_await this->write(request);
-    auto result = this->failed(co_await this->failure_kind(watchdog, deadline),
-        write_failure.message());
-    if (!write_failure && !watchdog.has_expired())
+    exchange_result result;
+    if (write_failure || watchdog.has_expired())
+    {
+        const auto state = co_await asio::this_coro::cancellation_state;
+        result = this->failed(
+            this->failure_kind(watchdog, deadline, is_cancelled(state)),
+            write_failure.message());
+    }
+    else
     {
         result = co_await this->read(request, watchdog);
     }
--- a/src/upstream/worker_connection.hpp
+++ b/src/upstream/worker_connection.hpp
@@ -47,7 +47,8 @@
 
     const core::endpoint& get_remote() const { return this->remote; }
 
-    /// Whether the last exchange left the connection fit for another.
+    /// Whether the connection is fit for an exchange: it was just connected, or
+    /// the last exchange ended with a whole response and nothing after it.
     bool is_reusable() const { return this->reusable; }
 
     /// Whether any byte of a response to the last request was read.
@@ -63,8 +64,8 @@
     boost::asio::awaitable<exchange_result> read(
         const forward_request& request, io_watchdog& watchdog);
     exchange_result failed(attempt_result result, std::string cause) const;
-    boost::asio::awaitable<attempt_result> failure_kind(
-        const io_watchdog& watchdog, core::time_point deadline) const;
+    attempt_result failure_kind(const io_watchdog& watchdog,
+        core::time_point deadline, bool is_cancelled) const;
 
     boost::asio::any_io_executor executor;
     boost::asio::ip::tcp::socket socket;
