--- a/standins/worker_stand_in/worker_stand_in.cpp
+++ b/standins/worker_stand_in/worker_stand_in.cpp
@@ -1,16 +1,16 @@
+#include "behaviour.hpp"
+#include "worker_model.hpp"
+#include "worker_server.hpp"
+
 #include "core/endpoint.hpp"
 #include "core/error.hpp"
 
 #include <CLI/CLI.hpp>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
 
 #include <csignal>
 #include <iostream>
@@ -19,57 +19,64 @@
 namespace {
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
+namespace core = pollenward::core;
+namespace stand_in = pollenward::worker_stand_in;
 using asio::ip::tcp;
-using http_request = http::request<http::string_body>;
-using http_response = http::response<http::string_body>;
-
-constexpr auto token = asio::as_tuple(asio::use_awaitable);
 
-http_response answer(const http_request& request, const std::string& name)
+/// Refuses new work for a time, lets the rest end, and stops.
+asio::awaitable<void> drain(asio::io_context& context,
+    stand_in::worker_model& model, core::milliseconds drain_time)
 {
-    http_response response(http::status::ok, 11);
-    response.set("Worker", name);
-    response.body() = std::string(request["Request-Id"]) + " "
-        + std::string(request.target()) + "\n";
-    response.prepare_payload();
-    return response;
+    model.set_behaviour(model.get_behaviour().with_draining(true));
+    co_await core::wait_until(core::runtime_clock::now() + drain_time);
+    model.notify_idle([&] { context.stop(); });
 }
 
-asio::awaitable<void> serve(tcp::socket socket, const std::string& name)
+/// Drains on SIGTERM; stops at once on SIGINT or a second SIGTERM.
+asio::awaitable<void> handle_signals(asio::io_context& context,
+    stand_in::worker_model& model, core::milliseconds drain_time)
 {
-    boost::beast::flat_buffer buffer;
-    while (true)
+    asio::signal_set signals(context, SIGINT, SIGTERM);
+    if (co_await signals.async_wait(asio::use_awaitable) == SIGTERM)
     {
-        http_request request;
-        auto [read_failure, read]
-            = co_await http::async_read(socket, buffer, request, token);
-        if (read_failure)
-        {
-            co_return;
-        }
-        const http_response response = answer(request, name);
-        auto [write_failure, written]
-            = co_await http::async_write(socket, response, token);
-        if (write_failure || !request.keep_alive())
-        {
-            co_return;
-        }
+        asio::co_spawn(
+            context, drain(context, model, drain_time), asio::detached);
+        co_await signals.async_wait(asio::use_awaitable);
     }
+    context.stop();
 }
 
-asio::awaitable<void> accept_all(
-    tcp::acceptor& acceptor, const std::string& name)
+int run(const core::endpoint& endpoint, const std::string& name,
+    const stand_in::behaviour& start, core::milliseconds drain_time,
+    bool prints_runs)
 {
-    while (true)
+    asio::io_context context(1);
+    boost::system::error_code failure;
+    const tcp::endpoint local(
+        asio::ip::make_address(endpoint.get_address()), endpoint.get_port());
+    tcp::acceptor acceptor(context);
+    acceptor.open(local.protocol());
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    acceptor.bind(local, failure);
+    if (failure)
+    {
+        std::cerr << "bind " << endpoint.str() << ": " << failure.message()
+                  << '\n';
+        return 1;
+    }
+    acceptor.listen();
+    stand_in::worker_model model(context, start);
+    stand_in::worker_server server(model, name);
+    std::cout << "listening on " << acceptor.local_endpoint() << std::endl;
+    asio::co_spawn(context, server.accept_all(acceptor), asio::detached);
+    asio::co_spawn(
+        context, handle_signals(context, model, drain_time), asio::detached);
+    context.run();
+    if (prints_runs)
     {
-        auto [failure, socket] = co_await acceptor.async_accept(token);
-        if (!failure)
-        {
-            asio::co_spawn(acceptor.get_executor(),
-                serve(std::move(socket), name), asio::detached);
-        }
+        std::cout << model.get_log().to_json() << std::endl;
     }
+    return 0;
 }
 
 } // namespace
@@ -79,23 +86,27 @@
     CLI::App app{ "Stand-in for a worker" };
     std::string listen;
     std::string name;
-    app.add_option("--listen", listen, "endpoint, IP number:port")->required();
+    std::string behaviour_json = "{}";
+    int drain_ms = 1000;
+    bool prints_runs = false;
+    app.add_option(
+           "--listen", listen, "endpoint, IP number:port; port 0 for any")
+        ->required();
     app.add_option("--name", name, "worker id")->required();
+    app.add_option(
+        "--behaviour", behaviour_json, "JSON object, as for POST /control");
+    app.add_option("--drain-ms", drain_ms,
+        "time in ms for which new work is refused after SIGTERM");
+    app.add_flag("--print-runs", prints_runs, "print GET /runs on exit");
     CLI11_PARSE(app, argc, argv);
-    pollenward::core::error reason;
-    const auto endpoint = pollenward::core::endpoint::create(listen, reason);
-    if (!endpoint)
+    core::error reason;
+    const auto endpoint = core::endpoint::create(listen, reason);
+    const auto start = stand_in::behaviour().with_json(behaviour_json, reason);
+    if (!endpoint || !start)
     {
         std::cerr << reason << '\n';
         return 2;
     }
-    asio::io_context context(1);
-    tcp::acceptor acceptor(context,
-        { asio::ip::make_address(endpoint->get_address()),
-            endpoint->get_port() });
-    asio::co_spawn(context, accept_all(acceptor, name), asio::detached);
-    asio::signal_set signals(context, SIGINT, SIGTERM);
-    signals.async_wait([&](auto, int) { context.stop(); });
-    context.run();
-    return 0;
+    return run(
+        *endpoint, name, *start, core::milliseconds(drain_ms), prints_runs);
 }
--- /dev/null
+++ b/tests/upstream/concurrency_limit_test.cpp
@@ -0,0 +1,63 @@
+#include "upstream/concurrency_limit.hpp"
+#include "upstream/drain_state.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace pollenward;
+using namespace pollenward::upstream;
+
+// Guards against a share that throttles a burst at one daemon while the fleet
+// has room, and against a lost home that lets all daemons overload a service.
+TEST_CASE("the share bounds only under overload or when expired", "[upstream]")
+{
+    const core::time_point now(core::seconds(100));
+    const core::slot_count safe = safe_share(core::slot_count(90), 44);
+    const auto limit = [&](bool is_overloaded, core::time_point at) {
+        const auto share = fleet_share::make(
+            core::slot_count(3), is_overloaded, now + core::seconds(2));
+        return service_limit(40, share, safe, at);
+    };
+    CHECK(limit(false, now) == core::slot_count(40));
+    CHECK(limit(true, now) == core::slot_count(3));
+    CHECK(limit(false, now + core::seconds(2)) == safe);
+    CHECK(service_limit(40, std::nullopt, safe, now) == core::slot_count(2));
+    CHECK(safe_share(core::slot_count(90), 470) == core::slot_count(1));
+}
+
+// Guards against a limit that stays high on a worker that sheds or queues.
+TEST_CASE("a limit falls with sheds and slow answers", "[upstream]")
+{
+    core::time_point now(core::seconds(100));
+    auto limit = concurrency_limit::make(core::slot_count(6), 8);
+    for (int i = 0; i < 100; ++i)
+    {
+        limit = limit.with_answer(core::milliseconds(5), 6, now);
+    }
+    CHECK(limit.get_limit() == 8);
+    const auto shed = limit.with_shed(now);
+    CHECK(shed.get_limit() < 8);
+    CHECK(shed.with_shed(now) == shed);
+    for (int i = 0; i < 100; ++i)
+    {
+        now += core::milliseconds(50);
+        limit = limit.with_answer(core::milliseconds(100), 6, now);
+    }
+    CHECK(limit.get_limit() < 6);
+}
+
+// Guards against work for a leaving worker when only one source knows of it.
+TEST_CASE("any one source marks a worker as leaving", "[upstream]")
+{
+    const core::time_point now(core::seconds(100));
+    CHECK(is_leaving(true, std::nullopt, now));
+    CHECK_FALSE(is_leaving(false, drain_state(), now));
+    for (const auto source :
+        { drain_source::peer, drain_source::worker_answer })
+    {
+        const auto told = drain_state().with_word(source, now);
+        CHECK(is_leaving(false, told, now));
+        CHECK_FALSE(is_leaving(false, told, now + drain_state::hold));
+    }
+    CHECK_FALSE(
+        drain_state().with_word(drain_source::peer, now).is_own_knowledge(now));
+}
