Add the health and capacity decisions

Cause: the dispatcher had no evidence, verdicts, floor or shares. Change: evidence windows and store, path faults, ejection policy, floor and local avoidance in upstream; homes, merge, shares and service_home in fleet. All are pure decisions over values and a time that is passed in. Conclusion: the public interfaces are those that the wiring can call.

--- /dev/null
+++ b/src/fleet/home.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "core/ids.hpp"
+#include "core/rendezvous.hpp"
+
+#include <compare>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace pollenward::fleet {
+
+/// A live daemon and its zone.
+class zone_daemon {
+public:
+    static zone_daemon make(core::daemon_id daemon, core::zone_id zone)
+    {
+        zone_daemon made;
+        made.daemon = std::move(daemon);
+        made.zone = std::move(zone);
+        return made;
+    }
+
+    const core::daemon_id& get_daemon() const { return this->daemon; }
+    const core::zone_id& get_zone() const { return this->zone; }
+
+    auto operator<=>(const zone_daemon&) const = default;
+
+private:
+    core::daemon_id daemon;
+    core::zone_id zone;
+};
+
+/// The daemon that merges the evidence of the service for the zone: the
+/// highest rendezvous score among the zone's live daemons. Nothing if the zone
+/// has none. Daemons that differ on who is live may differ on the home.
+inline std::optional<core::daemon_id> home_in_zone(
+    const core::service_id& service, const core::zone_id& zone,
+    const std::vector<zone_daemon>& live)
+{
+    std::vector<core::daemon_id> candidates;
+    for (const zone_daemon& each : live)
+    {
+        if (each.get_zone() == zone)
+        {
+            candidates.push_back(each.get_daemon());
+        }
+    }
+    const auto top = core::rendezvous_top(service.str(), candidates, 1);
+    return top.empty() ? std::nullopt : std::optional(top.front());
+}
+
+/// The homes of the service, one for each zone with live daemons, sorted by
+/// zone.
+inline std::vector<zone_daemon> homes(
+    const core::service_id& service, const std::vector<zone_daemon>& live)
+{
+    std::map<core::zone_id, std::vector<core::daemon_id>> by_zone;
+    for (const zone_daemon& each : live)
+    {
+        by_zone[each.get_zone()].push_back(each.get_daemon());
+    }
+    std::vector<zone_daemon> found;
+    for (const auto& [zone, daemons] : by_zone)
+    {
+        found.push_back(zone_daemon::make(
+            core::rendezvous_top(service.str(), daemons, 1).front(), zone));
+    }
+    return found;
+}
+
+} // namespace pollenward::fleet
--- /dev/null
+++ b/src/fleet/service_home.cpp
@@ -0,0 +1,220 @@
+#include "fleet/service_home.hpp"
+
+#include "upstream/ejection_policy.hpp"
+#include "upstream/floor.hpp"
+
+#include <algorithm>
+
+namespace pollenward::fleet {
+
+namespace {
+
+    // A home of a busy service gets hundreds of reports a second; deciding on
+    // each of them would not be faster in effect.
+    constexpr core::milliseconds decision_interval(20);
+
+} // namespace
+
+service_home_state service_home_state::make(const core::zone_id& own_zone)
+{
+    service_home_state made;
+    made.own_zone = own_zone;
+    made.merge = evidence_merge::make(own_zone);
+    return made;
+}
+
+service_home_state service_home_state::with_view(service_view view) const
+{
+    service_home_state next = *this;
+    next.view = std::move(view);
+    return next;
+}
+
+service_home_state service_home_state::with_report(
+    const evidence_report& report, core::time_point now) const
+{
+    service_home_state next = *this;
+    next.merge = this->merge.with_report(report, now);
+    // `decided` starts at the least time, from which a difference overflows.
+    const bool is_due = this->decided == core::time_point::min()
+        || now - this->decided >= decision_interval;
+    return is_due ? next.with_decision(now) : next;
+}
+
+service_home_state service_home_state::with_decision(core::time_point now) const
+{
+    service_home_state next = *this;
+    next.merge = this->merge.without_expired(now);
+    const auto silent = next.merge.silent_zones(now);
+    next.records = upstream::decide_ejections(
+        upstream::ejection_input::make(this->view.get_workers(),
+            this->view.get_draining(), this->view.get_floor_share(),
+            next.merge.sources(now), static_cast<int>(silent.size())),
+        this->records, now);
+    next.decided = now;
+    return next;
+}
+
+std::vector<upstream::verdict> service_home_state::verdicts(
+    core::time_point now) const
+{
+    std::vector<upstream::verdict> made;
+    for (const upstream::worker_record& each : this->records)
+    {
+        made.push_back(each.to_verdict(now));
+    }
+    return made;
+}
+
+double service_home_state::healthy_slots(core::time_point now) const
+{
+    double capacity = 0;
+    for (const auto& each : upstream::usable_workers(this->view.get_workers(),
+             upstream::hold_verdicts(this->verdicts(now), now),
+             this->view.get_draining(), {}, this->view.get_floor_share(), now))
+    {
+        capacity += each.get_weight();
+    }
+    return capacity
+        * static_cast<double>(this->view.get_slots_per_worker().get());
+}
+
+int service_home_state::daemons_in(const core::zone_id& zone) const
+{
+    const auto& live = this->view.get_live_daemons();
+    return static_cast<int>(std::count_if(live.begin(), live.end(),
+        [&](const zone_daemon& each) { return each.get_zone() == zone; }));
+}
+
+/// The claims of the zones, in the order of zone_demand().
+std::vector<share_claim> service_home_state::zone_claims(
+    core::time_point now) const
+{
+    std::vector<share_claim> claims;
+    for (const source_demand& each : this->merge.zone_demand(now))
+    {
+        claims.push_back(share_claim::make(each.get_demand(),
+            std::max(1, this->daemons_in(core::zone_id(each.get_source())))));
+    }
+    return claims;
+}
+
+/// A zone that is not heard still sends work, by the safe share of its
+/// daemons: all slots divided by all daemons.
+double service_home_state::slots_without_silent_zones(
+    core::time_point now) const
+{
+    const double slots = this->healthy_slots(now);
+    const auto live = this->view.get_live_daemons().size();
+    int silent = 0;
+    for (const core::zone_id& each : this->merge.silent_zones(now))
+    {
+        silent += this->daemons_in(each);
+    }
+    return live == 0
+        ? slots
+        : slots * (1 - static_cast<double>(silent) / static_cast<double>(live));
+}
+
+double service_home_state::own_zone_slots(core::time_point now) const
+{
+    const auto zones = this->merge.zone_demand(now);
+    const auto shares = deal_capacity(this->slots_without_silent_zones(now),
+        this->zone_claims(now), this->view.get_minimum_shares());
+    for (std::size_t i = 0; i < zones.size(); ++i)
+    {
+        if (zones[i].get_source() == this->own_zone.str())
+        {
+            return shares[i];
+        }
+    }
+    return 0;
+}
+
+double service_home_state::share_of(
+    const std::string& daemon, core::time_point now) const
+{
+    if (this->view.get_workers().empty())
+    {
+        return 0;
+    }
+    const auto demands = this->merge.daemon_demand(now);
+    std::vector<share_claim> claims;
+    for (const source_demand& each : demands)
+    {
+        claims.push_back(share_claim::make(each.get_demand(), 1));
+    }
+    const auto shares = deal_capacity(
+        this->own_zone_slots(now), claims, this->view.get_minimum_shares());
+    for (std::size_t i = 0; i < demands.size(); ++i)
+    {
+        if (demands[i].get_source() == daemon)
+        {
+            return shares[i];
+        }
+    }
+    return 0;
+}
+
+verdict_reply service_home_state::reply_to(
+    const evidence_report& report, core::time_point now) const
+{
+    const double share = report.get_level() == report_level::daemon
+        ? this->share_of(report.get_source(), now)
+        : 0;
+    const bool is_over = !this->view.get_workers().empty()
+        && is_overloaded(
+            this->slots_without_silent_zones(now), this->zone_claims(now));
+    return verdict_reply::make(this->verdicts(now), share, share_validity,
+        is_over, this->view.get_draining());
+}
+
+void service_home::store_view(
+    const core::service_id& service, service_view view)
+{
+    this->states.update(service, [&](const auto& present) {
+        return std::optional(
+            present.value_or(service_home_state::make(this->own_zone))
+                .with_view(std::move(view)));
+    });
+}
+
+verdict_reply service_home::on_report(
+    const evidence_report& report, core::time_point now)
+{
+    const auto state
+        = this->states.update(report.get_service(), [&](const auto& present) {
+              return std::optional(
+                  present.value_or(service_home_state::make(this->own_zone))
+                      .with_report(report, now));
+          });
+    return state->reply_to(report, now);
+}
+
+evidence_report service_home::summary(
+    const core::service_id& service, core::time_point now)
+{
+    const auto state = this->states.update(service, [&](const auto& present) {
+        return std::optional(
+            present.value_or(service_home_state::make(this->own_zone))
+                .with_decision(now));
+    });
+    const auto uptime = std::chrono::duration_cast<core::milliseconds>(
+        now.time_since_epoch());
+    const auto sequence
+        = this->sequence_base + static_cast<std::uint64_t>(uptime.count());
+    return state->get_merge().zone_summary(service, sequence, now);
+}
+
+void service_home::forget(const core::service_id& service)
+{
+    this->states.erase(service);
+}
+
+std::optional<service_home_state> service_home::find(
+    const core::service_id& service) const
+{
+    return this->states.find(service);
+}
+
+} // namespace pollenward::fleet
--- /dev/null
+++ b/src/upstream/ejection_policy.cpp
@@ -0,0 +1,377 @@
+#include "upstream/ejection_policy.hpp"
+
+#include "upstream/evidence_window.hpp"
+#include "upstream/failure_rate.hpp"
+#include "upstream/floor.hpp"
+#include "upstream/path_fault.hpp"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <utility>
+
+namespace pollenward::upstream {
+
+namespace {
+
+    // One or two bad answers can come from one bad request; an ejection needs
+    // more than that whatever the rate.
+    constexpr double least_failures = 5;
+    // On trial, traffic is a sixteenth, and the worker was bad before.
+    constexpr double least_trial_failures = 2;
+    // A worker that fails 3 in 10 passes ten requests by chance in 3 of 100.
+    constexpr double successes_per_step = 10;
+    // With little traffic, a step ends after this time if nothing failed.
+    constexpr core::seconds longest_step(30);
+    // Within this time, ejections and new suspicions count as "at once".
+    constexpr core::seconds shared_cause_window(10);
+    // A worker without an ejection for this long starts again at 5 s.
+    constexpr core::duration memory = std::chrono::minutes(10);
+
+    using record_map = std::map<core::worker_id, worker_record>;
+
+    /// The evidence on one worker and what follows from it alone.
+    struct assessment {
+        core::worker_id worker;
+        evidence_counts total;
+        /// `total` without what was seen before the last return from ejection.
+        evidence_counts recent;
+        int zones_with_traffic = 0;
+        int zones_with_failures = 0;
+        double lower_bound = 0;
+
+        bool is_suspect() const { return shows_failures(this->recent); }
+    };
+
+    double failure_bound_of(const evidence_counts& counts, double least)
+    {
+        const double fast = counts.get_fast_failures() < least
+            ? 0
+            : failure_rate_lower_bound(
+                counts.get_fast_failures(), counts.get_fast_successes());
+        const double slow = counts.get_slow_failures() < least
+            ? 0
+            : failure_rate_lower_bound(
+                counts.get_slow_failures(), counts.get_slow_successes());
+        return std::max(fast, slow);
+    }
+
+    evidence_counts since_baseline(const worker_record& record,
+        const evidence_counts& counts, core::time_point now)
+    {
+        const auto old
+            = decayed(record.get_baseline(), now - record.get_since());
+        const auto left = [](double present, double before) {
+            return std::max(0.0, present - before);
+        };
+        return evidence_counts::make(
+            left(counts.get_fast_successes(), old.get_fast_successes()),
+            left(counts.get_fast_failures(), old.get_fast_failures()),
+            left(counts.get_slow_successes(), old.get_slow_successes()),
+            left(counts.get_slow_failures(), old.get_slow_failures()));
+    }
+
+    assessment assess(const core::worker_id& worker,
+        const std::vector<source_evidence>& zones, const record_map& records,
+        core::time_point now)
+    {
+        assessment made;
+        made.worker = worker;
+        for (const source_evidence& zone : zones)
+        {
+            const evidence_counts counts = zone.counts_of(worker);
+            made.total = made.total + counts;
+            made.zones_with_traffic += has_traffic(counts) ? 1 : 0;
+            made.zones_with_failures += shows_failures(counts) ? 1 : 0;
+        }
+        const auto record = records.find(worker);
+        made.recent = record == records.end()
+            ? made.total
+            : since_baseline(record->second, made.total, now);
+        made.lower_bound = failure_bound_of(made.recent, least_failures);
+        return made;
+    }
+
+    std::vector<assessment> assess_all(const std::vector<worker>& workers,
+        const std::vector<source_evidence>& zones, const record_map& records,
+        core::time_point now)
+    {
+        std::vector<assessment> all;
+        all.reserve(workers.size());
+        for (const worker& each : workers)
+        {
+            all.push_back(assess(each.get_id(), zones, records, now));
+        }
+        return all;
+    }
+
+    /// Half of the zones with traffic must see the failures, not just two: a
+    /// region that is cut off from a worker has two zones. A zone that is not
+    /// heard any more counts if fewer than two are heard, so that a zone that
+    /// is cut off from all others ejects nothing on its own word.
+    bool is_seen_widely(const assessment& made, int silent_zones)
+    {
+        const int known = made.zones_with_traffic + silent_zones;
+        const int needed
+            = std::max(std::min(2, known), (made.zones_with_traffic + 1) / 2);
+        return made.zones_with_failures >= std::max(needed, 1);
+    }
+
+    /// The failure rate of all other workers together, in the slow window: the
+    /// fast one is too noisy to compare with at low traffic.
+    double rate_of_others(
+        const std::vector<assessment>& all, const core::worker_id& worker)
+    {
+        double failures = 0;
+        double total = 0;
+        for (const assessment& each : all)
+        {
+            // Suspects are left out, or two bad workers would hide each other.
+            if (each.worker != worker && !each.is_suspect())
+            {
+                failures += each.recent.get_slow_failures();
+                total += each.recent.get_slow_failures()
+                    + each.recent.get_slow_successes();
+            }
+        }
+        return total > 0 ? failures / total : 0;
+    }
+
+    bool is_recently_ejected(const worker_record& record, core::time_point now)
+    {
+        return record.get_state() == worker_state::ejected
+            && now - record.get_since() <= shared_cause_window;
+    }
+
+    /// True if half of the workers with traffic, and at least two, turned bad
+    /// at about the same time.
+    bool has_shared_cause(const std::vector<assessment>& all,
+        const record_map& records, core::time_point now)
+    {
+        int used = 0;
+        int bad = 0;
+        for (const assessment& each : all)
+        {
+            const auto record = records.find(each.worker);
+            const bool is_ejected = record != records.end()
+                && is_recently_ejected(record->second, now);
+            const bool is_used = is_ejected || has_traffic(each.total);
+            used += is_used ? 1 : 0;
+            bad += is_used && (is_ejected || each.is_suspect()) ? 1 : 0;
+        }
+        return bad >= 2 && bad * 2 >= used;
+    }
+
+    /// The zones whose workers all show failures, while none of the evidence
+    /// is from the zone itself: the zone may be cut off as well as broken.
+    std::vector<core::zone_id> unreachable_zones(
+        const std::vector<worker>& workers, const std::vector<assessment>& all,
+        const std::vector<source_evidence>& zones)
+    {
+        std::map<core::zone_id, std::pair<int, int>> counts;
+        for (std::size_t i = 0; i < workers.size(); ++i)
+        {
+            auto& [used, bad] = counts[workers[i].get_zone()];
+            used += has_traffic(all[i].total) ? 1 : 0;
+            bad += all[i].is_suspect() ? 1 : 0;
+        }
+        std::vector<core::zone_id> unreachable;
+        for (const auto& [zone, count] : counts)
+        {
+            const bool is_seen_from_inside = std::any_of(
+                zones.begin(), zones.end(), [&zone = zone](const auto& each) {
+                    return each.get_zone() == zone
+                        && !each.get_counts().empty();
+                });
+            if (count.second >= 2 && count.second >= count.first
+                && !is_seen_from_inside)
+            {
+                unreachable.push_back(zone);
+            }
+        }
+        return unreachable;
+    }
+
+    bool may_step(const worker_record& record, const evidence_counts& recent,
+        core::time_point now)
+    {
+        const double successes = recent.get_slow_successes();
+        const double failures = recent.get_slow_failures();
+        const bool is_good
+            = failures <= failure_rate_bound * (failures + successes);
+        const bool is_late = now - record.get_since() >= longest_step;
+        return is_good
+            && (successes >= successes_per_step
+                || (is_late && successes >= 0.5 && failures < 0.5));
+    }
+
+    bool has_failed_trial(const evidence_counts& recent)
+    {
+        return failure_bound_of(recent, least_trial_failures)
+            > failure_rate_bound;
+    }
+
+    /// The next record of a worker that was ejected before, by its own
+    /// evidence only; nothing if it can be forgotten.
+    std::optional<worker_record> advance(const worker_record& record,
+        const assessment& made, bool is_wide, core::time_point now)
+    {
+        switch (record.get_state())
+        {
+        case worker_state::ejected:
+            return now >= record.get_hold_end()
+                ? record.with_step(made.total, now)
+                : record;
+        case worker_state::trial: {
+            if (has_failed_trial(made.recent) && is_wide)
+            {
+                return record.with_ejection(now);
+            }
+            return may_step(record, made.recent, now)
+                ? record.with_step(made.total, now)
+                : record;
+        }
+        case worker_state::active:
+            break;
+        }
+        return now - record.get_since() >= memory ? std::nullopt
+                                                  : std::optional(record);
+    }
+
+    /// Capacity, in workers, that the records leave.
+    double capacity_of(const ejection_input& input, const record_map& records,
+        core::time_point now)
+    {
+        std::vector<held_verdict> verdicts;
+        for (const auto& [id, record] : records)
+        {
+            verdicts.push_back(held_verdict::make(record.to_verdict(now), now));
+        }
+        double capacity = 0;
+        // Floor share 0: what the ejections leave, without the floor's help.
+        for (const auto& each : usable_workers(input.get_workers(), verdicts,
+                 input.get_draining(), {}, 0, now))
+        {
+            capacity += each.get_weight();
+        }
+        return capacity;
+    }
+
+    bool is_live(const worker& who, const ejection_input& input)
+    {
+        const auto& draining = input.get_draining();
+        return !who.is_leaving()
+            && std::find(draining.begin(), draining.end(), who.get_id())
+            == draining.end();
+    }
+
+    /// The active workers that the evidence condemns, worst first.
+    std::vector<assessment> candidates(const ejection_input& input,
+        const std::vector<assessment>& all,
+        const std::vector<core::zone_id>& unreachable,
+        const record_map& records)
+    {
+        std::vector<assessment> found;
+        for (std::size_t i = 0; i < all.size(); ++i)
+        {
+            const worker& who = input.get_workers()[i];
+            const auto record = records.find(who.get_id());
+            const bool is_active = record == records.end()
+                || record->second.get_state() == worker_state::active;
+            const double bound = std::max(
+                failure_rate_bound, rate_of_others(all, who.get_id()));
+            const bool is_cut_off = std::find(unreachable.begin(),
+                                        unreachable.end(), who.get_zone())
+                != unreachable.end();
+            if (is_active && is_live(who, input) && !is_cut_off
+                && all[i].lower_bound > bound
+                && is_seen_widely(all[i], input.get_silent_zones()))
+            {
+                found.push_back(all[i]);
+            }
+        }
+        std::sort(found.begin(), found.end(),
+            [](const auto& left, const auto& right) {
+                return left.lower_bound != right.lower_bound
+                    ? left.lower_bound > right.lower_bound
+                    : left.worker < right.worker;
+            });
+        return found;
+    }
+
+    void eject(const std::vector<assessment>& condemned,
+        const ejection_input& input, record_map& records, core::time_point now)
+    {
+        const double required = required_capacity(
+            input.get_workers(), input.get_draining(), input.get_floor_share());
+        for (const assessment& each : condemned)
+        {
+            record_map next = records;
+            const auto present = next.try_emplace(
+                each.worker, worker_record::make(each.worker));
+            present.first->second = present.first->second.with_ejection(now);
+            if (capacity_of(input, next, now) >= required)
+            {
+                records = std::move(next);
+            }
+        }
+    }
+
+    record_map advance_all(const std::vector<worker_record>& previous,
+        const std::vector<assessment>& all, int silent_zones, bool is_shared,
+        core::time_point now)
+    {
+        record_map records;
+        for (const worker_record& each : previous)
+        {
+            const auto made = std::find_if(
+                all.begin(), all.end(), [&](const assessment& other) {
+                    return other.worker == each.get_worker();
+                });
+            if (made == all.end())
+            {
+                continue; // no longer listed
+            }
+            const bool is_wide
+                = !is_shared && is_seen_widely(*made, silent_zones);
+            if (const auto next = advance(each, *made, is_wide, now))
+            {
+                records.emplace(next->get_worker(), *next);
+            }
+        }
+        return records;
+    }
+
+} // namespace
+
+std::vector<worker_record> decide_ejections(const ejection_input& input,
+    const std::vector<worker_record>& previous, core::time_point now)
+{
+    const auto zones = without_faulty_zone_paths(
+        sum_by_zone(without_faulty_sources(input.get_sources())),
+        input.get_workers());
+    record_map before;
+    for (const worker_record& each : previous)
+    {
+        before.emplace(each.get_worker(), each);
+    }
+    const auto all = assess_all(input.get_workers(), zones, before, now);
+    const bool is_shared = has_shared_cause(all, before, now);
+    record_map records
+        = advance_all(previous, all, input.get_silent_zones(), is_shared, now);
+    if (!is_shared)
+    {
+        const auto unreachable
+            = unreachable_zones(input.get_workers(), all, zones);
+        eject(
+            candidates(input, all, unreachable, records), input, records, now);
+    }
+    std::vector<worker_record> next;
+    for (auto& [id, record] : records)
+    {
+        next.push_back(std::move(record));
+    }
+    return next;
+}
+
+} // namespace pollenward::upstream
