Add membership, documents, messages and the nng transport of the fleet

Cause: daemons cannot yet know or tell each other anything. Change: value types of all messages, a SWIM state machine, the spread of documents, MessagePack encoding, the nng transport, and the node that runs them. Conclusion: the public interfaces are in place for the wiring.

--- /dev/null
+++ b/src/fleet/evidence_codec.cpp
@@ -0,0 +1,120 @@
+#include "fleet/field_codecs.hpp"
+
+#include <utility>
+
+namespace pollenward::fleet {
+
+namespace {
+
+    using nlohmann::json;
+
+    json encode_entry(const evidence_entry& each)
+    {
+        const upstream::evidence_counts& counts = each.get_counts();
+        return json::array({ each.get_worker().str(),
+            counts.get_fast_successes(), counts.get_fast_failures(),
+            counts.get_slow_successes(), counts.get_slow_failures() });
+    }
+
+    evidence_entry decode_entry(array_reader& fields)
+    {
+        auto worker = fields.read_id<core::worker_id>();
+        const double fast_successes = fields.read_real();
+        const double fast_failures = fields.read_real();
+        const double slow_successes = fields.read_real();
+        const double slow_failures = fields.read_real();
+        return evidence_entry::make(std::move(worker),
+            upstream::evidence_counts::make(
+                fast_successes, fast_failures, slow_successes, slow_failures));
+    }
+
+    json encode_verdict(const upstream::verdict& each)
+    {
+        return json::array({ each.get_worker().str(),
+            static_cast<std::uint64_t>(each.get_state()), each.get_weight(),
+            static_cast<std::uint64_t>(each.get_remaining().count()),
+            static_cast<std::uint64_t>(each.get_ejections()) });
+    }
+
+    upstream::verdict decode_verdict(array_reader& fields)
+    {
+        constexpr std::uint64_t max_ejections = 1'000'000;
+        auto worker = fields.read_id<core::worker_id>();
+        const auto state = fields.read_enum(upstream::worker_state::trial);
+        const double weight = fields.read_real();
+        const auto remaining = fields.read_milliseconds();
+        const auto ejections = fields.read_number(max_ejections);
+        return upstream::verdict::make(std::move(worker), state, weight,
+            remaining, static_cast<int>(ejections));
+    }
+
+    rank_demand decode_demand(array_reader& fields)
+    {
+        rank_demand demand{};
+        for (double& each : demand)
+        {
+            each = fields.read_real();
+        }
+        return demand;
+    }
+
+} // namespace
+
+json encode_fields(const evidence_report& content)
+{
+    json entries = json::array();
+    for (const evidence_entry& each : content.get_entries())
+    {
+        entries.push_back(encode_entry(each));
+    }
+    return json::array(
+        { static_cast<std::uint64_t>(content.get_level()), content.get_source(),
+            content.get_zone().str(), content.get_service().str(),
+            content.get_sequence(), std::move(entries), content.get_demand() });
+}
+
+evidence_report decode_fields(
+    array_reader& fields, type_of_message<evidence_report>)
+{
+    const auto level = fields.read_enum(report_level::zone);
+    auto source = fields.read_string();
+    auto zone = fields.read_id<core::zone_id>();
+    auto service = fields.read_id<core::service_id>();
+    const auto sequence = fields.read_number();
+    auto entries = fields.read_list(decode_entry);
+    const auto demand = fields.read_nested(decode_demand);
+    return evidence_report::make(level, std::move(source), std::move(zone),
+        std::move(service), sequence, std::move(entries), demand);
+}
+
+json encode_fields(const verdict_reply& content)
+{
+    json verdicts = json::array();
+    for (const upstream::verdict& each : content.get_verdicts())
+    {
+        verdicts.push_back(encode_verdict(each));
+    }
+    json draining = json::array();
+    for (const core::worker_id& each : content.get_draining())
+    {
+        draining.push_back(json::array({ each.str() }));
+    }
+    return json::array({ std::move(verdicts), content.get_share(),
+        static_cast<std::uint64_t>(content.get_share_validity().count()),
+        content.is_overloaded(), std::move(draining) });
+}
+
+verdict_reply decode_fields(
+    array_reader& fields, type_of_message<verdict_reply>)
+{
+    auto verdicts = fields.read_list(decode_verdict);
+    const double share = fields.read_real();
+    const auto validity = fields.read_milliseconds();
+    const bool is_overloaded = fields.read_bool();
+    auto draining = fields.read_list(
+        [](array_reader& each) { return each.read_id<core::worker_id>(); });
+    return verdict_reply::make(std::move(verdicts), share, validity,
+        is_overloaded, std::move(draining));
+}
+
+} // namespace pollenward::fleet
--- /dev/null
+++ b/src/fleet/fleet_node.hpp
@@ -0,0 +1,431 @@
+#pragma once
+
+#include "core/runtime_timer.hpp"
+#include "core/sharded_map.hpp"
+#include "core/sharded_snapshot.hpp"
+#include "fleet/document_spread.hpp"
+#include "fleet/fleet_transport.hpp"
+#include "fleet/membership.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <type_traits>
+#include <utility>
+#include <vector>
+
+namespace pollenward::fleet {
+
+/// Hears of each accepted document. Calls can come from several threads, and a
+/// later version can overtake an earlier one: the observer compares versions.
+template <class Observer>
+concept document_observer = requires(Observer& observer,
+    const document& accepted) { observer.on_document(accepted); };
+
+/// Answers the messages that are not about members or documents.
+template <class Service>
+concept message_service = requires(Service& service, message received) {
+    {
+        service.handle(received)
+    } -> std::same_as<boost::asio::awaitable<message>>;
+};
+
+/// This daemon's part in the fleet: member list, failure detection and
+/// documents. It must outlive the executor's context, as must the transport,
+/// the observer and the service.
+template <fleet_transport Transport, document_observer Observer,
+    message_service Service>
+class fleet_node {
+public:
+    /// `seeds` are fleet endpoints to contact besides the platform's list;
+    /// `seed` determines the order of pings.
+    fleet_node(boost::asio::any_io_executor executor, Transport& transport,
+        Observer& observer, Service& service, const member& self,
+        std::vector<core::endpoint> seeds, std::uint64_t seed)
+        : executor(std::move(executor))
+        , transport(transport)
+        , observer(observer)
+        , service(service)
+        , detector(self, std::move(seeds), seed)
+        , known_members(std::vector<member>{ self })
+    {
+    }
+
+    /// Serves other daemons and starts the membership loop.
+    void start()
+    {
+        this->transport.serve([this](message received) {
+            return this->handle(std::move(received));
+        });
+        this->spawn(this->run());
+    }
+
+    /// The membership loop ends at its next period.
+    void stop() { this->stopped = true; }
+
+    /// All known members, this daemon included, as of the last change.
+    std::vector<member> members() const
+    {
+        return this->known_members.read(
+            [](const std::vector<member>& all) { return all; });
+    }
+
+    member self() const
+    {
+        const std::lock_guard lock(this->mutex);
+        return this->detector.get_self();
+    }
+
+    /// Ids of the members that take part in homes and watchers.
+    std::vector<core::daemon_id> live_daemons() const
+    {
+        return this->known_members.read([](const std::vector<member>& all) {
+            std::vector<core::daemon_id> live;
+            for (const member& each : all)
+            {
+                if (each.is_live())
+                {
+                    live.push_back(each.get_id());
+                }
+            }
+            return live;
+        });
+    }
+
+    std::optional<member> find_member(const core::daemon_id& id) const
+    {
+        return this->known_members.read(
+            [&](const std::vector<member>& all) -> std::optional<member> {
+                const auto found = std::find_if(all.begin(), all.end(),
+                    [&](const member& each) { return each.get_id() == id; });
+                return found == all.end() ? std::nullopt
+                                          : std::optional(*found);
+            });
+    }
+
+    /// Time of the last exchange with a daemon in either direction.
+    std::optional<core::time_point> last_heard(const core::daemon_id& id) const
+    {
+        return this->heard.find(id);
+    }
+
+    /// Records an exchange that a message service learned of.
+    void note_heard(const core::daemon_id& id)
+    {
+        this->heard.store(id, core::runtime_clock::now());
+    }
+
+    /// Sends a message to a member and notes that it replied.
+    boost::asio::awaitable<std::optional<message>> exchange(
+        core::daemon_id peer, message content, core::error& reason)
+    {
+        const auto known = this->find_member(peer);
+        if (!known)
+        {
+            reason = core::error::make(
+                "exchange", peer.str(), "the daemon is not a known member");
+            co_return std::nullopt;
+        }
+        auto reply = co_await this->transport.exchange(
+            known->get_address(), std::move(content), reason);
+        if (reply)
+        {
+            this->note_heard(peer);
+        }
+        co_return reply;
+    }
+
+    /// Accepts a document if it is newer than the one at hand, and passes it
+    /// on. The result says how it compares.
+    document_order publish(document offered)
+    {
+        const core::document_name name = offered.get_name();
+        const auto next = std::make_shared<const document>(std::move(offered));
+        document_order order = document_order::same;
+        this->documents.update(
+            name, [&](const std::optional<document_pointer>& present) {
+                const auto digest = present
+                    ? std::optional((*present)->get_digest())
+                    : std::nullopt;
+                order = compare(digest, next->get_digest());
+                return order == document_order::newer ? next : *present;
+            });
+        if (order == document_order::conflict)
+        {
+            ++this->conflicts;
+        }
+        if (order == document_order::newer)
+        {
+            this->observer.on_document(*next);
+            this->push_to_some(next);
+        }
+        return order;
+    }
+
+    /// The document in its newest accepted version; null if there is none.
+    std::shared_ptr<const document> find(const core::document_name& name) const
+    {
+        return this->documents.find(name).value_or(nullptr);
+    }
+
+    /// How often a document had the number of the one at hand and another
+    /// body.
+    std::uint64_t count_conflicts() const { return this->conflicts.load(); }
+
+    /// The platform's list of daemons with their fleet endpoints.
+    void set_hosts(const std::vector<platform::host_entry>& hosts)
+    {
+        this->with_detector([&] { this->detector.on_hosts(hosts); });
+    }
+
+    void set_version_in_force(core::version_number version)
+    {
+        this->with_detector(
+            [&] { this->detector.set_version_in_force(version); });
+    }
+
+    /// Tells a few members that this daemon leaves; they pass it on.
+    boost::asio::awaitable<void> leave()
+    {
+        const probes sent
+            = this->with_detector([&] { return this->detector.leave(); });
+        for (const probe& each : sent)
+        {
+            co_await this->send(each);
+        }
+    }
+
+private:
+    using document_pointer = std::shared_ptr<const document>;
+
+    /// Bodies sent to a peer that lags, for each ping that shows it. The peer
+    /// also fetches by itself, so this only has to help one that cannot.
+    static constexpr std::size_t max_pushes = 4;
+
+    void spawn(boost::asio::awaitable<void> task)
+    {
+        boost::asio::co_spawn(
+            this->executor, std::move(task), boost::asio::detached);
+    }
+
+    /// Runs a step of the membership under its lock, then publishes the list.
+    /// Two threads can publish in the wrong order; the next period corrects
+    /// that.
+    template <class Step>
+    auto with_detector(Step step)
+    {
+        std::unique_lock lock(this->mutex);
+        if constexpr (std::is_void_v<decltype(step())>)
+        {
+            step();
+            auto list = this->detector.list();
+            lock.unlock();
+            this->known_members.store(std::move(list));
+        }
+        else
+        {
+            auto result = step();
+            auto list = this->detector.list();
+            lock.unlock();
+            this->known_members.store(std::move(list));
+            return result;
+        }
+    }
+
+    boost::asio::awaitable<void> run()
+    {
+        while (!this->stopped)
+        {
+            const auto now = core::runtime_clock::now();
+            for (const probe& each :
+                this->with_detector([&] { return this->detector.tick(now); }))
+            {
+                this->spawn(this->send(each));
+            }
+            co_await core::wait_until(now + ping_interval);
+        }
+    }
+
+    boost::asio::awaitable<void> send(probe sent)
+    {
+        core::error reason;
+        const auto reply = co_await this->transport.exchange(
+            sent.get_address(), this->with_hash(sent.get_content()), reason);
+        const auto now = core::runtime_clock::now();
+        const ack* replied = reply ? std::get_if<ack>(&*reply) : nullptr;
+        if (replied == nullptr)
+        {
+            for (const probe& each : this->with_detector(
+                     [&] { return this->detector.on_failure(sent, now); }))
+            {
+                this->spawn(this->send(each));
+            }
+            co_return;
+        }
+        this->with_detector(
+            [&] { this->detector.on_ack(sent, *replied, now); });
+        if (!sent.is_indirect())
+        {
+            this->note_heard(replied->get_sender().get_id());
+            co_await this->reconcile(
+                sent.get_address(), replied->get_digests());
+        }
+    }
+
+    message with_hash(const message& content) const
+    {
+        const ping* direct = std::get_if<ping>(&content);
+        return direct == nullptr
+            ? content
+            : message(direct->with_documents_hash(hash_of(this->digests())));
+    }
+
+    document_digests digests() const
+    {
+        document_digests all;
+        for (const auto& [name, each] : this->documents.entries())
+        {
+            all.push_back(each->get_digest());
+        }
+        return all;
+    }
+
+    boost::asio::awaitable<void> reconcile(
+        core::endpoint peer, document_digests theirs)
+    {
+        if (theirs.empty())
+        {
+            co_return;
+        }
+        const auto plan = spread_plan::make(this->digests(), theirs);
+        this->conflicts += plan.get_conflicts().size();
+        for (const core::document_name& name : plan.get_to_fetch())
+        {
+            co_await this->fetch(peer, name);
+        }
+        const auto& to_push = plan.get_to_push();
+        for (std::size_t i = 0; i < std::min(max_pushes, to_push.size()); ++i)
+        {
+            if (const auto present = this->find(to_push[i]))
+            {
+                co_await this->push(peer, present);
+            }
+        }
+    }
+
+    boost::asio::awaitable<void> fetch(
+        core::endpoint peer, core::document_name name)
+    {
+        const auto present = this->find(name);
+        const auto known
+            = present ? present->get_version() : core::version_number();
+        core::error reason;
+        auto reply = co_await this->transport.exchange(
+            peer, fetch_document::make(name, known), reason);
+        document* fetched = reply ? std::get_if<document>(&*reply) : nullptr;
+        if (fetched != nullptr && fetched->get_name() == name)
+        {
+            this->publish(std::move(*fetched));
+        }
+    }
+
+    boost::asio::awaitable<void> push(
+        core::endpoint peer, document_pointer pushed)
+    {
+        core::error ignored;
+        co_await this->transport.exchange(peer, *pushed, ignored);
+    }
+
+    void push_to_some(const document_pointer& pushed)
+    {
+        const auto receivers = this->with_detector(
+            [&] { return this->detector.pick(push_fanout, {}); });
+        for (const member& each : receivers)
+        {
+            this->spawn(this->push(each.get_address(), pushed));
+        }
+    }
+
+    boost::asio::awaitable<message> handle(message received)
+    {
+        if (const ping* asked = std::get_if<ping>(&received))
+        {
+            co_return this->answer_ping(*asked);
+        }
+        if (const auto* asked = std::get_if<ping_request>(&received))
+        {
+            co_return co_await this->ping_for(*asked);
+        }
+        if (const auto* asked = std::get_if<fetch_document>(&received))
+        {
+            const auto present = this->find(asked->get_name());
+            co_return present && present->get_version() > asked->get_known()
+                ? message(*present)
+                : message(receipt::failed("no newer version"));
+        }
+        if (auto* offered = std::get_if<document>(&received))
+        {
+            this->publish(std::move(*offered));
+            co_return receipt::accepted();
+        }
+        co_return co_await this->service.handle(std::move(received));
+    }
+
+    message answer_ping(const ping& asked)
+    {
+        const auto now = core::runtime_clock::now();
+        ack reply = this->with_detector(
+            [&] { return this->detector.on_ping(asked, now); });
+        this->note_heard(asked.get_sender().get_id());
+        auto mine = this->digests();
+        if (hash_of(mine) != asked.get_documents_hash())
+        {
+            reply = reply.with_digests(std::move(mine));
+        }
+        return reply;
+    }
+
+    boost::asio::awaitable<message> ping_for(ping_request asked)
+    {
+        const auto now = core::runtime_clock::now();
+        const probe sent = this->with_detector([&] {
+            this->detector.on_record(asked.get_sender(), now);
+            return this->detector.ping_of(
+                asked.get_target(), asked.get_target_address(), now);
+        });
+        core::error reason;
+        const auto reply = co_await this->transport.exchange(
+            sent.get_address(), this->with_hash(sent.get_content()), reason);
+        const ack* replied = reply ? std::get_if<ack>(&*reply) : nullptr;
+        if (replied == nullptr)
+        {
+            co_return receipt::failed(reason.describe());
+        }
+        this->with_detector([&] {
+            this->detector.on_ack(sent, *replied, core::runtime_clock::now());
+        });
+        this->note_heard(replied->get_sender().get_id());
+        co_return replied->with_digests({});
+    }
+
+    boost::asio::any_io_executor executor;
+    Transport& transport;
+    Observer& observer;
+    Service& service;
+    mutable std::mutex mutex;
+    membership detector;
+    core::sharded_snapshot<std::vector<member>> known_members;
+    core::sharded_map<core::document_name, document_pointer> documents;
+    core::sharded_map<core::daemon_id, core::time_point> heard;
+    std::atomic<std::uint64_t> conflicts{ 0 };
+    std::atomic<bool> stopped{ false };
+};
+
+} // namespace pollenward::fleet
--- /dev/null
+++ b/src/fleet/membership.cpp
@@ -0,0 +1,433 @@
+#include "fleet/membership.hpp"
+
+#include <algorithm>
+#include <bit>
+#include <utility>
+
+namespace pollenward::fleet {
+
+namespace {
+
+    /// Lost members and unanswered addresses are tried every fourth period, so
+    /// that the two sides of a healed partition find each other.
+    constexpr std::uint64_t contact_period = 4;
+    constexpr std::size_t contacts_while_alone = 3;
+
+    std::size_t announcement_count(std::size_t members)
+    {
+        return 3 * static_cast<std::size_t>(std::bit_width(members + 1));
+    }
+
+} // namespace
+
+membership::membership(
+    member self, std::vector<core::endpoint> seeds, std::uint64_t seed)
+    : self(std::move(self))
+    , seeds(std::move(seeds))
+    , random(seed)
+{
+}
+
+probes membership::tick(core::time_point now)
+{
+    if (this->last_tick && now - *this->last_tick > pause_threshold)
+    {
+        for (auto& [id, known] : this->table)
+        {
+            known.changed_at = now;
+        }
+        this->outstanding.clear();
+    }
+    this->last_tick = now;
+    ++this->ticks;
+    this->expire(now);
+    probes sent = this->contact_probes(now);
+    if (auto next = this->next_in_round(now))
+    {
+        sent.push_back(std::move(*next));
+    }
+    return sent;
+}
+
+void membership::on_ack(
+    const probe& sent, const ack& reply, core::time_point now)
+{
+    this->outstanding.erase(sent.get_target());
+    if (sent.wants_all())
+    {
+        this->last_full_list = now;
+    }
+    this->merge(reply.get_sender(), now);
+    for (const member& update : reply.get_updates())
+    {
+        this->merge(update, now);
+    }
+}
+
+probes membership::on_failure(const probe& sent, core::time_point now)
+{
+    const core::daemon_id& target = sent.get_target();
+    const auto known = this->table.find(target);
+    if (known == this->table.end()
+        || known->second.record.get_state() == member_state::dead)
+    {
+        return {};
+    }
+    if (sent.is_indirect())
+    {
+        const auto left = this->outstanding.find(target);
+        if (left != this->outstanding.end() && --left->second == 0)
+        {
+            this->outstanding.erase(left);
+            this->suspect(target, now);
+        }
+        return {};
+    }
+    if (this->outstanding.contains(target))
+    {
+        return {};
+    }
+    probes indirect;
+    for (const member& via : this->pick(indirect_probes, { target }))
+    {
+        indirect.push_back(probe::indirect(via.get_address(),
+            ping_request::make(
+                this->self, target, known->second.record.get_address())));
+    }
+    if (indirect.empty())
+    {
+        this->suspect(target, now);
+        return {};
+    }
+    this->outstanding[target] = indirect.size();
+    return indirect;
+}
+
+ack membership::on_ping(const ping& received, core::time_point now)
+{
+    this->merge(received.get_sender(), now);
+    for (const member& update : received.get_updates())
+    {
+        this->merge(update, now);
+    }
+    const core::daemon_id& sender = received.get_sender().get_id();
+    return ack::make(this->self,
+        received.wants_all() ? this->all_records() : this->take_updates(sender),
+        {});
+}
+
+void membership::on_record(const member& record, core::time_point now)
+{
+    this->merge(record, now);
+}
+
+void membership::on_hosts(const std::vector<platform::host_entry>& hosts)
+{
+    this->hosts = hosts;
+}
+
+void membership::set_version_in_force(core::version_number version)
+{
+    this->self = this->self.with_version_in_force(version);
+    this->raise_sequence();
+}
+
+probes membership::leave()
+{
+    this->self = this->self.with_state(member_state::leaving);
+    this->raise_sequence();
+    probes sent;
+    for (const member& each : this->pick(indirect_probes, {}))
+    {
+        sent.push_back(probe::direct(each.get_id(), each.get_address(),
+            ping::make(
+                this->self, this->take_updates(each.get_id()), 0, false)));
+    }
+    return sent;
+}
+
+std::vector<member> membership::list() const
+{
+    std::set<std::string> leaving;
+    for (const platform::host_entry& host : this->hosts)
+    {
+        if (host.is_leaving())
+        {
+            leaving.insert(host.get_id());
+        }
+    }
+    std::vector<member> all = this->all_records();
+    for (member& each : all)
+    {
+        if (each.is_live() && leaving.contains(each.get_id().str()))
+        {
+            each = each.with_state(member_state::leaving);
+        }
+    }
+    return all;
+}
+
+std::vector<member> membership::pick(
+    std::size_t count, const std::set<core::daemon_id>& excluded)
+{
+    std::vector<member> live;
+    for (const auto& [id, known] : this->table)
+    {
+        if (known.record.is_live() && !excluded.contains(id))
+        {
+            live.push_back(known.record);
+        }
+    }
+    std::vector<member> picked;
+    std::sample(live.begin(), live.end(), std::back_inserter(picked), count,
+        this->random);
+    return picked;
+}
+
+void membership::merge(const member& record, core::time_point now)
+{
+    if (record.get_id() == this->self.get_id())
+    {
+        this->refute(record);
+        return;
+    }
+    const auto found = this->table.find(record.get_id());
+    if (found == this->table.end())
+    {
+        // A dead member that is not known is not worth remembering: it would
+        // be passed on forever.
+        if (record.get_state() != member_state::dead)
+        {
+            this->table.emplace(record.get_id(), entry{ record, now });
+            this->announce(record.get_id());
+        }
+        return;
+    }
+    if (record.supersedes(found->second.record))
+    {
+        found->second = entry{ record, now };
+        this->announce(record.get_id());
+    }
+}
+
+void membership::refute(const member& record)
+{
+    const auto heard
+        = std::pair(record.get_incarnation(), record.get_sequence());
+    const auto own
+        = std::pair(this->self.get_incarnation(), this->self.get_sequence());
+    const bool is_doubt = record.get_state() == member_state::suspect
+        || record.get_state() == member_state::dead;
+    if (heard < own || (heard == own && !is_doubt))
+    {
+        return;
+    }
+    if (record.get_incarnation() > this->self.get_incarnation())
+    {
+        // The clock of this host ran backwards over a restart.
+        this->self = this->self.with_sequence(
+            record.get_incarnation() + core::incarnation_number(1), 0);
+    }
+    else
+    {
+        this->self = this->self.with_sequence(
+            record.get_incarnation(), record.get_sequence());
+    }
+    this->raise_sequence();
+}
+
+void membership::set_state(
+    entry& known, member_state state, core::time_point now)
+{
+    known = entry{ known.record.with_state(state), now };
+    this->announce(known.record.get_id());
+}
+
+void membership::suspect(const core::daemon_id& target, core::time_point now)
+{
+    const auto found = this->table.find(target);
+    if (found != this->table.end()
+        && found->second.record.get_state() < member_state::suspect)
+    {
+        this->set_state(found->second, member_state::suspect, now);
+    }
+}
+
+void membership::expire(core::time_point now)
+{
+    for (auto& [id, known] : this->table)
+    {
+        if (known.record.get_state() == member_state::suspect
+            && now - known.changed_at >= suspicion_time)
+        {
+            this->set_state(known, member_state::dead, now);
+        }
+    }
+    std::erase_if(this->table, [&](const auto& each) {
+        return each.second.record.get_state() == member_state::dead
+            && now - each.second.changed_at >= dead_retention;
+    });
+}
+
+std::optional<probe> membership::next_in_round(core::time_point now)
+{
+    const auto is_pinged = [&](const core::daemon_id& id) {
+        const auto found = this->table.find(id);
+        return found != this->table.end()
+            && found->second.record.get_state() != member_state::dead;
+    };
+    while (!this->round.empty() && !is_pinged(this->round.back()))
+    {
+        this->round.pop_back();
+    }
+    if (this->round.empty())
+    {
+        for (const auto& [id, known] : this->table)
+        {
+            if (is_pinged(id))
+            {
+                this->round.push_back(id);
+            }
+        }
+        std::shuffle(this->round.begin(), this->round.end(), this->random);
+    }
+    if (this->round.empty())
+    {
+        return std::nullopt;
+    }
+    const core::daemon_id target = std::move(this->round.back());
+    this->round.pop_back();
+    return this->ping_of(
+        target, this->table.at(target).record.get_address(), now);
+}
+
+probes membership::contact_probes(core::time_point now)
+{
+    const bool is_alone = !this->has_live_member();
+    if (!is_alone && this->ticks % contact_period != 0)
+    {
+        return {};
+    }
+    const auto addresses = this->lost_addresses();
+    const std::size_t count = std::min(
+        is_alone ? contacts_while_alone : std::size_t{ 1 }, addresses.size());
+    probes sent;
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        const auto& address
+            = addresses[this->contact_cursor++ % addresses.size()];
+        sent.push_back(this->ping_of({}, address, now));
+    }
+    return sent;
+}
+
+std::vector<core::endpoint> membership::lost_addresses() const
+{
+    std::set<core::endpoint> lost(this->seeds.begin(), this->seeds.end());
+    for (const platform::host_entry& host : this->hosts)
+    {
+        lost.insert(host.get_address());
+    }
+    for (const auto& [id, known] : this->table)
+    {
+        lost.insert(known.record.get_address());
+    }
+    for (const auto& [id, known] : this->table)
+    {
+        if (known.record.get_state() != member_state::dead)
+        {
+            lost.erase(known.record.get_address());
+        }
+    }
+    lost.erase(this->self.get_address());
+    return { lost.begin(), lost.end() };
+}
+
+bool membership::has_live_member() const
+{
+    return std::any_of(this->table.begin(), this->table.end(),
+        [](const auto& each) { return each.second.record.is_live(); });
+}
+
+probe membership::ping_of(const core::daemon_id& target,
+    const core::endpoint& address, core::time_point now)
+{
+    const bool wants_all = !this->last_full_list
+        || now - *this->last_full_list >= full_list_interval;
+    member_updates updates = this->take_updates(target);
+    if (target.is_empty())
+    {
+        // The daemon at a lost address has to hear that it is held for dead.
+        for (const auto& [id, known] : this->table)
+        {
+            if (known.record.get_address() == address)
+            {
+                updates.push_back(known.record);
+            }
+        }
+    }
+    return probe::direct(target, address,
+        ping::make(this->self, std::move(updates), 0, wants_all));
+}
+
+member_updates membership::take_updates(const core::daemon_id& receiver)
+{
+    std::vector<std::pair<std::size_t, core::daemon_id>> order;
+    for (const auto& [id, left] : this->announcements)
+    {
+        order.emplace_back(left, id);
+    }
+    std::sort(order.rbegin(), order.rend());
+    member_updates taken;
+    const auto found = this->table.find(receiver);
+    if (found != this->table.end()
+        && found->second.record.get_state() >= member_state::suspect)
+    {
+        taken.push_back(found->second.record);
+    }
+    for (const auto& [left, id] : order)
+    {
+        if (taken.size() >= max_updates)
+        {
+            break;
+        }
+        const auto known = this->table.find(id);
+        if (known != this->table.end())
+        {
+            taken.push_back(known->second.record);
+        }
+        if (left <= 1 || known == this->table.end())
+        {
+            this->announcements.erase(id);
+        }
+        else
+        {
+            this->announcements[id] = left - 1;
+        }
+    }
+    return taken;
+}
+
+member_updates membership::all_records() const
+{
+    member_updates all{ this->self };
+    for (const auto& [id, known] : this->table)
+    {
+        all.push_back(known.record);
+    }
+    std::sort(all.begin(), all.end());
+    return all;
+}
+
+void membership::announce(const core::daemon_id& id)
+{
+    this->announcements[id] = announcement_count(this->table.size());
+}
+
+void membership::raise_sequence()
+{
+    this->self = this->self.with_sequence(
+        this->self.get_incarnation(), this->self.get_sequence() + 1);
+}
+
+} // namespace pollenward::fleet
--- /dev/null
+++ b/src/fleet/message.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "fleet/claim_copy.hpp"
+#include "fleet/claim_reply.hpp"
+#include "fleet/claim_request.hpp"
+#include "fleet/claim_settle.hpp"
+#include "fleet/document.hpp"
+#include "fleet/evidence_report.hpp"
+#include "fleet/fetch_document.hpp"
+#include "fleet/guard_notice.hpp"
+#include "fleet/ping.hpp"
+#include "fleet/receipt.hpp"
+#include "fleet/verdict_reply.hpp"
+
+#include <array>
+#include <string_view>
+#include <variant>
+
+namespace pollenward::fleet {
+
+/// Any message between daemons. The index of an alternative is its type number
+/// on the wire: new alternatives go to the end.
+using message = std::variant<ping, ack, ping_request, fetch_document, document,
+    evidence_report, verdict_reply, claim_request, claim_reply, claim_settle,
+    claim_copy, claim_page, guard_notice, receipt>;
+
+inline constexpr std::array<std::string_view, std::variant_size_v<message>>
+    message_type_names = { "ping", "ack", "ping_request", "fetch_document",
+        "document", "evidence_report", "verdict_reply", "claim_request",
+        "claim_reply", "claim_settle", "claim_copy", "claim_page",
+        "guard_notice", "receipt" };
+
+} // namespace pollenward::fleet
--- /dev/null
+++ b/src/fleet/nng_client.cpp
@@ -0,0 +1,209 @@
+#include "fleet/nng_client.hpp"
+
+#include <nng/protocol/reqrep0/req.h>
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <utility>
+
+namespace pollenward::fleet {
+
+namespace {
+
+    constexpr nng_duration reconnect_min_ms = 100;
+    constexpr nng_duration reconnect_max_ms = 1000;
+
+    /// One request and its reply on a context of its own. Owned by the chain
+    /// of nng callbacks and deleted by the last one.
+    class nng_exchange {
+    public:
+        nng_exchange(std::shared_ptr<nng_peer> peer, core::milliseconds timeout,
+            std::shared_ptr<flight_counter> flights, nng_completion done)
+            : peer(std::move(peer))
+            , flights(std::move(flights))
+            , done(std::move(done))
+            , expiry(std::chrono::steady_clock::now() + timeout)
+        {
+            this->flights->enter();
+        }
+
+        ~nng_exchange()
+        {
+            if (nng_ctx_id(this->context) > 0)
+            {
+                nng_ctx_close(this->context);
+            }
+            if (this->aio != nullptr)
+            {
+                // nng_aio_free would wait for the callback that runs this.
+                nng_aio_reap(this->aio);
+            }
+        }
+
+        nng_exchange(const nng_exchange&) = delete;
+        nng_exchange& operator=(const nng_exchange&) = delete;
+
+        void start(const encoded_message& request)
+        {
+            int failure = nng_aio_alloc(&this->aio, &on_event, this);
+            if (failure == 0)
+            {
+                failure
+                    = nng_ctx_open(&this->context, this->peer->get_socket());
+            }
+            nng_msg* outgoing
+                = failure == 0 ? make_nng_message(request) : nullptr;
+            if (outgoing == nullptr)
+            {
+                this->finish(failure == 0 ? NNG_ENOMEM : failure, {});
+                return;
+            }
+            nng_aio_set_msg(this->aio, outgoing);
+            this->set_timeout();
+            nng_ctx_send(this->context, this->aio);
+        }
+
+    private:
+        static void on_event(void* argument)
+        {
+            static_cast<nng_exchange*>(argument)->advance();
+        }
+
+        void advance()
+        {
+            const int failure = nng_aio_result(this->aio);
+            if (failure != 0)
+            {
+                if (!this->sent)
+                {
+                    nng_msg_free(nng_aio_get_msg(this->aio));
+                }
+                this->finish(failure, {});
+                return;
+            }
+            if (!this->sent)
+            {
+                this->sent = true;
+                this->set_timeout();
+                nng_ctx_recv(this->context, this->aio);
+                return;
+            }
+            this->finish(0, take_nng_message(nng_aio_get_msg(this->aio)));
+        }
+
+        /// nng counts its timeout from each operation; both operations share
+        /// that of the exchange.
+        void set_timeout()
+        {
+            const auto left
+                = std::chrono::duration_cast<std::chrono::milliseconds>(
+                    this->expiry - std::chrono::steady_clock::now());
+            nng_aio_set_timeout(this->aio,
+                static_cast<nng_duration>(
+                    std::max<std::int64_t>(left.count(), 1)));
+        }
+
+        void finish(int failure, encoded_message reply)
+        {
+            const auto counter = this->flights;
+            this->done(failure, std::move(reply));
+            delete this;
+            counter->leave();
+        }
+
+        std::shared_ptr<nng_peer> peer;
+        std::shared_ptr<flight_counter> flights;
+        nng_completion done;
+        std::chrono::steady_clock::time_point expiry;
+        nng_aio* aio = nullptr;
+        nng_ctx context = NNG_CTX_INITIALIZER;
+        bool sent = false;
+    };
+
+} // namespace
+
+nng_msg* make_nng_message(const encoded_message& bytes)
+{
+    nng_msg* made = nullptr;
+    if (nng_msg_alloc(&made, 0) != 0)
+    {
+        return nullptr;
+    }
+    if (nng_msg_append(made, bytes.data(), bytes.size()) != 0)
+    {
+        nng_msg_free(made);
+        return nullptr;
+    }
+    return made;
+}
+
+encoded_message take_nng_message(nng_msg* received)
+{
+    const auto* body = static_cast<const std::uint8_t*>(nng_msg_body(received));
+    encoded_message bytes(body, body + nng_msg_len(received));
+    nng_msg_free(received);
+    return bytes;
+}
+
+void flight_counter::enter()
+{
+    const std::lock_guard lock(this->mutex);
+    ++this->count;
+}
+
+void flight_counter::leave()
+{
+    const std::lock_guard lock(this->mutex);
+    if (--this->count == 0)
+    {
+        this->is_empty.notify_all();
+    }
+}
+
+void flight_counter::wait_until_empty()
+{
+    std::unique_lock lock(this->mutex);
+    this->is_empty.wait(lock, [this] { return this->count == 0; });
+}
+
+nng_peer::nng_peer(const core::endpoint& address)
+    : last_used(core::runtime_clock::now())
+{
+    if (nng_req0_open(&this->socket) != 0)
+    {
+        return;
+    }
+    // Claims and reports decide themselves whether to send again.
+    nng_socket_set_ms(
+        this->socket, NNG_OPT_REQ_RESENDTIME, NNG_DURATION_INFINITE);
+    nng_socket_set_ms(this->socket, NNG_OPT_RECONNMINT, reconnect_min_ms);
+    nng_socket_set_ms(this->socket, NNG_OPT_RECONNMAXT, reconnect_max_ms);
+    nng_socket_set_size(this->socket, NNG_OPT_RECVMAXSZ, max_message_size);
+    const std::string url = "tcp://" + address.str();
+    nng_dial(this->socket, url.c_str(), nullptr, NNG_FLAG_NONBLOCK);
+}
+
+nng_peer::~nng_peer()
+{
+    this->close();
+}
+
+void nng_peer::close()
+{
+    if (nng_socket_id(this->socket) > 0)
+    {
+        nng_close(this->socket);
+    }
+}
+
+void start_nng_exchange(std::shared_ptr<nng_peer> peer,
+    const encoded_message& request, core::milliseconds timeout,
+    std::shared_ptr<flight_counter> flights, nng_completion done)
+{
+    auto* started = new nng_exchange(
+        std::move(peer), timeout, std::move(flights), std::move(done));
+    started->start(request);
+}
+
+} // namespace pollenward::fleet
--- /dev/null
+++ b/src/fleet/nng_server.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+// Only the nng transport includes this header.
+
+#include "core/endpoint.hpp"
+#include "core/error.hpp"
+#include "fleet/message_codec.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <nng/nng.h>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+namespace pollenward::fleet {
+
+/// Requests that a daemon serves at the same time. A ping request holds its
+/// place for up to the timeout of an exchange.
+inline constexpr std::size_t server_contexts = 32;
+
+using bytes_handler
+    = std::function<boost::asio::awaitable<encoded_message>(encoded_message)>;
+
+/// Answers requests of other daemons. Handlers run on the executor.
+class nng_server {
+public:
+    explicit nng_server(boost::asio::any_io_executor executor);
+    ~nng_server();
+    nng_server(const nng_server&) = delete;
+    nng_server& operator=(const nng_server&) = delete;
+
+    /// Binds the listener. Port 0 takes a free port.
+    bool listen(const core::endpoint& address, core::error& reason);
+
+    /// The address that is bound, with the real port.
+    const core::endpoint& get_address() const { return this->address; }
+
+    void serve(bytes_handler handler);
+
+    /// Ends all requests. Blocks until nng's callbacks have ended.
+    void close();
+
+private:
+    class place;
+
+    boost::asio::any_io_executor executor;
+    core::endpoint address;
+    nng_socket socket = NNG_SOCKET_INITIALIZER;
+    std::mutex mutex;
+    std::vector<std::shared_ptr<place>> places;
+};
+
+} // namespace pollenward::fleet
--- /dev/null
+++ b/src/fleet/nng_transport.cpp
@@ -0,0 +1,222 @@
+#include "fleet/nng_transport.hpp"
+
+#include "fleet/nng_client.hpp"
+#include "fleet/nng_server.hpp"
+
+#include <boost/asio/associated_executor.hpp>
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/execution/outstanding_work.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/prefer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <exception>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace pollenward::fleet {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr core::seconds idle_check_interval{ 10 };
+
+    /// Result of an exchange on the wire: nng's error number and the reply.
+    struct wire_result {
+        int failure = 0;
+        encoded_message reply;
+    };
+
+    /// Carries the result from nng's thread to the executor of the waiting
+    /// coroutine, whose context it keeps running meanwhile.
+    template <class Handler>
+    nng_completion complete_on_executor(Handler handler)
+    {
+        auto shared = std::make_shared<Handler>(std::move(handler));
+        auto executor = asio::prefer(asio::get_associated_executor(*shared),
+            asio::execution::outstanding_work.tracked);
+        return [shared = std::move(shared), executor = std::move(executor)](
+                   int failure, encoded_message reply) mutable {
+            asio::post(executor,
+                [shared = std::move(shared),
+                    result
+                    = wire_result{ failure, std::move(reply) }]() mutable {
+                    std::move (*shared)(std::move(result));
+                });
+        };
+    }
+
+    asio::awaitable<wire_result> exchange_bytes(std::shared_ptr<nng_peer> peer,
+        encoded_message request, std::shared_ptr<flight_counter> flights)
+    {
+        const auto initiate = [&](auto handler) {
+            start_nng_exchange(peer, request, exchange_timeout, flights,
+                complete_on_executor(std::move(handler)));
+        };
+        co_return co_await asio::async_initiate<const asio::use_awaitable_t<>,
+            void(wire_result)>(initiate, asio::use_awaitable);
+    }
+
+} // namespace
+
+nng_transport::nng_transport(const asio::any_io_executor& executor)
+    : traffic(std::make_shared<counters>())
+    , flights(std::make_shared<flight_counter>())
+    , server(std::make_unique<nng_server>(executor))
+    , idle_thread(
+          [this](const std::stop_token& stop) { this->close_idle_until(stop); })
+{
+}
+
+nng_transport::~nng_transport()
+{
+    this->close();
+}
+
+bool nng_transport::listen(const core::endpoint& address, core::error& reason)
+{
+    return this->server->listen(address, reason);
+}
+
+const core::endpoint& nng_transport::get_address() const
+{
+    return this->server->get_address();
+}
+
+void nng_transport::serve(message_handler handler)
+{
+    auto shared = std::make_shared<const message_handler>(std::move(handler));
+    this->server->serve(
+        [shared, traffic = this->traffic](encoded_message request) {
+            return answer(shared, traffic, std::move(request));
+        });
+}
+
+asio::awaitable<encoded_message> nng_transport::answer(
+    std::shared_ptr<const message_handler> handler,
+    std::shared_ptr<counters> traffic, encoded_message request)
+{
+    core::error reason;
+    message reply;
+    auto received = decode_message(request, "daemon", reason);
+    if (received)
+    {
+        traffic->received.add(received->index(), request.size());
+        try
+        {
+            reply = co_await (*handler)(std::move(*received));
+        }
+        catch (const std::exception& thrown)
+        {
+            reply = receipt::failed(thrown.what());
+        }
+    }
+    else
+    {
+        ++traffic->invalid;
+        reply = receipt::failed(reason.describe());
+    }
+    encoded_message bytes = encode_message(reply);
+    if (bytes.size() > max_message_size)
+    {
+        reply = receipt::failed("the reply is too large");
+        bytes = encode_message(reply);
+    }
+    traffic->sent.add(reply.index(), bytes.size());
+    co_return bytes;
+}
+
+asio::awaitable<std::optional<message>> nng_transport::exchange(
+    core::endpoint peer, message content, core::error& reason)
+{
+    const std::string step
+        = "exchange " + std::string(message_type_names[content.index()]);
+    encoded_message request = encode_message(content);
+    if (this->closed || request.size() > max_message_size)
+    {
+        reason = core::error::make(step, peer.str(),
+            this->closed ? "the transport is closed"
+                         : "the message is too large");
+        co_return std::nullopt;
+    }
+    const auto traffic = this->traffic;
+    traffic->sent.add(content.index(), request.size());
+    const auto result = co_await exchange_bytes(
+        this->peer_of(peer), std::move(request), this->flights);
+    if (result.failure != 0)
+    {
+        reason
+            = core::error::make(step, peer.str(), nng_strerror(result.failure));
+        co_return std::nullopt;
+    }
+    auto reply = decode_message(result.reply, peer.str(), reason);
+    if (!reply)
+    {
+        ++traffic->invalid;
+        co_return std::nullopt;
+    }
+    traffic->received.add(reply->index(), result.reply.size());
+    co_return reply;
+}
+
+std::shared_ptr<nng_peer> nng_transport::peer_of(const core::endpoint& address)
+{
+    auto found = this->peers.find(address);
+    if (!found)
+    {
+        this->peers.insert(address, std::make_shared<nng_peer>(address));
+        found = this->peers.find(address);
+    }
+    if (!found)
+    {
+        // Closed between the two calls; the exchange fails on its socket.
+        found = std::make_shared<nng_peer>(address);
+    }
+    (*found)->touch(core::runtime_clock::now());
+    return *found;
+}
+
+std::size_t nng_transport::close_idle(core::time_point now)
+{
+    std::vector<std::shared_ptr<nng_peer>> closing;
+    this->peers.erase_if([&](const auto&, const auto& peer) {
+        const bool is_idle = now - peer->get_last_used() >= idle_peer_time;
+        if (is_idle)
+        {
+            closing.push_back(peer);
+        }
+        return is_idle;
+    });
+    return closing.size();
+}
+
+void nng_transport::close_idle_until(const std::stop_token& stop)
+{
+    std::unique_lock lock(this->idle_mutex);
+    while (!stop.stop_requested())
+    {
+        this->idle_wait.wait_for(
+            lock, stop, idle_check_interval, [] { return false; });
+        this->close_idle(core::runtime_clock::now());
+    }
+}
+
+void nng_transport::close()
+{
+    this->closed = true;
+    if (this->idle_thread.joinable())
+    {
+        this->idle_thread.request_stop();
+        this->idle_thread.join();
+    }
+    this->server->close();
+    for (const auto& [address, peer] : this->peers.entries())
+    {
+        peer->close();
+    }
+    this->flights->wait_until_empty();
+}
+
+} // namespace pollenward::fleet
