Add conditional updates, watches, patches, metrics and the admin server

Cause: the client could only read, and operators had no way to change the configuration or to see what is in force. Change: object_client gets put and watch over kept connections and tells an absent object from a store that does not respond; platform_watch polls while a daemon is a watcher; patch_service applies patches by conditional update and settles a write without a response by reading back; metrics and the admin server are added. A configuration now records id, digest and number of its patches. The stand-in gets faults, watches and call counts. Conclusion: the interfaces stand, the tests follow.

--- a/src/main/daemon.cpp
+++ b/src/main/daemon.cpp
@@ -88,9 +88,9 @@
 
 asio::awaitable<void> daemon::refresh_configuration()
 {
-    core::error reason;
-    const auto object = co_await this->store.get(
-        core::document_name("configuration"), reason);
+    const auto read
+        = co_await this->store.get(core::document_name("configuration"));
+    const auto& object = read.get_object();
     if (!object)
     {
         co_return;
@@ -111,13 +111,14 @@
 
 asio::awaitable<void> daemon::refresh_workers(core::service_id service)
 {
-    core::error reason;
-    const auto object = co_await this->store.get(
-        core::document_name("hosts/" + service.str()), reason);
+    const auto read = co_await this->store.get(
+        core::document_name("hosts/" + service.str()));
+    const auto& object = read.get_object();
     if (!object)
     {
         co_return;
     }
+    core::error reason;
     const auto rows = platform::decode_host_list(object->get_value(), reason);
     if (!rows)
     {
--- /dev/null
+++ b/src/operators/admin_server.hpp
@@ -0,0 +1,139 @@
+#pragma once
+
+#include "core/runtime_timer.hpp"
+#include "operators/admin_http.hpp"
+#include "operators/admin_source.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <cstdint>
+#include <string>
+#include <utility>
+
+namespace pollenward::operators {
+
+/// The HTTP server for operators, their monitoring and the load balancer.
+template <admin_source Source>
+class admin_server {
+public:
+    admin_server(boost::asio::io_context& context, Source& source)
+        : context(context)
+        , acceptor(context)
+        , source(source)
+    {
+    }
+
+    /// Binds and starts to accept. False, with the reason, if the endpoint
+    /// cannot be bound.
+    bool listen(const core::endpoint& endpoint, core::error& reason)
+    {
+        if (!open_listener(this->acceptor, endpoint, reason))
+        {
+            return false;
+        }
+        boost::asio::co_spawn(
+            this->context, this->accept_all(), boost::asio::detached);
+        return true;
+    }
+
+    boost::asio::awaitable<admin_response> answer(admin_request request)
+    {
+        switch (resource_of(request))
+        {
+        case admin_resource::status:
+            co_return respond_status(this->source.status());
+        case admin_resource::metrics:
+            co_return respond_metrics(this->source.metrics());
+        case admin_resource::configuration:
+            co_return respond_configuration(
+                this->source.configuration_in_force());
+        case admin_resource::ready:
+            co_return respond_ready(this->source.is_ready());
+        case admin_resource::patch:
+            co_return co_await this->apply(request);
+        case admin_resource::wrong_method:
+            co_return respond_error(405, unknown_resource(request));
+        case admin_resource::none:
+            break;
+        }
+        co_return respond_error(404, unknown_resource(request));
+    }
+
+    /// Port on which the server listens, for endpoints with port 0.
+    std::uint16_t get_port() const
+    {
+        return this->acceptor.local_endpoint().port();
+    }
+
+private:
+    using tcp = boost::asio::ip::tcp;
+
+    boost::asio::awaitable<void> accept_all()
+    {
+        namespace asio = boost::asio;
+        while (this->acceptor.is_open())
+        {
+            auto [failure, socket] = co_await this->acceptor.async_accept(
+                asio::make_strand(this->context),
+                asio::as_tuple(asio::use_awaitable));
+            if (failure)
+            {
+                // Descriptors may have run out: repeating at once would spin.
+                co_await core::wait_until(
+                    core::runtime_clock::now() + core::milliseconds(100));
+                continue;
+            }
+            const auto strand = socket.get_executor();
+            asio::co_spawn(
+                strand, this->serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    boost::asio::awaitable<void> serve(tcp::socket socket)
+    {
+        boost::beast::flat_buffer buffer;
+        bool is_open = true;
+        while (is_open)
+        {
+            auto request = co_await read_request(socket, buffer);
+            if (!request)
+            {
+                co_return;
+            }
+            const bool is_kept = request->keep_alive();
+            const unsigned version = request->version();
+            auto response = co_await this->answer(std::move(*request));
+            is_open = co_await write_response(
+                socket, std::move(response), version, is_kept);
+        }
+    }
+
+    boost::asio::awaitable<admin_response> apply(const admin_request& request)
+    {
+        core::error reason;
+        auto wanted = patch_of(request, reason);
+        if (!wanted)
+        {
+            co_return respond_reply(
+                patch_reply::make(patch_outcome::invalid, {}, { reason }));
+        }
+        co_return respond_reply(
+            co_await this->source.apply(std::move(*wanted)));
+    }
+
+    static core::error unknown_resource(const admin_request& request)
+    {
+        return core::error::make("answer operator",
+            std::string(request.target()), "no such resource or method");
+    }
+
+    boost::asio::io_context& context;
+    boost::asio::ip::tcp::acceptor acceptor;
+    Source& source;
+};
+
+} // namespace pollenward::operators
--- a/src/operators/configuration.cpp
+++ b/src/operators/configuration.cpp
@@ -75,7 +75,7 @@
 std::optional<configuration> configuration::create(core::version_number number,
     std::vector<service_settings> services, std::vector<kind_settings> kinds,
     std::vector<route> routes, core::milliseconds max_timeout,
-    std::vector<core::patch_id> patches, std::vector<core::error>& reasons)
+    std::vector<patch_record> patches, std::vector<core::error>& reasons)
 {
     const std::size_t faults_before = reasons.size();
     sort_by_id(services);
--- a/src/operators/configuration.hpp
+++ b/src/operators/configuration.hpp
@@ -4,6 +4,7 @@
 #include "core/ids.hpp"
 #include "core/units.hpp"
 #include "operators/kind_settings.hpp"
+#include "operators/patch.hpp"
 #include "operators/route.hpp"
 #include "operators/service_settings.hpp"
 
@@ -25,7 +26,7 @@
     static std::optional<configuration> create(core::version_number number,
         std::vector<service_settings> services,
         std::vector<kind_settings> kinds, std::vector<route> routes,
-        core::milliseconds max_timeout, std::vector<core::patch_id> patches,
+        core::milliseconds max_timeout, std::vector<patch_record> patches,
         std::vector<core::error>& reasons);
 
     core::version_number get_number() const { return this->number; }
@@ -44,7 +45,7 @@
     core::milliseconds get_max_timeout() const { return this->max_timeout; }
 
     /// The latest patches, oldest first, at most `remembered_patches`.
-    const std::vector<core::patch_id>& get_patches() const
+    const std::vector<patch_record>& get_patches() const
     {
         return this->patches;
     }
@@ -62,7 +63,7 @@
     std::vector<kind_settings> kinds;
     std::vector<route> routes;
     core::milliseconds max_timeout{};
-    std::vector<core::patch_id> patches;
+    std::vector<patch_record> patches;
 };
 
 } // namespace pollenward::operators
--- a/src/operators/configuration_json.cpp
+++ b/src/operators/configuration_json.cpp
@@ -197,6 +197,43 @@
         return items;
     }
 
+    /// Records of applied patches; a bare string is the id of a patch that was
+    /// recorded by hand.
+    std::vector<patch_record> read_patches(
+        object_reader& parent, std::vector<core::error>& reasons)
+    {
+        std::vector<patch_record> records;
+        const json& array = parent.read_array("patches");
+        for (std::size_t i = 0; i < array.size(); ++i)
+        {
+            if (array[i].is_string())
+            {
+                records.push_back(patch_record::make(
+                    core::patch_id(array[i].get<std::string>()), {}, {}));
+                continue;
+            }
+            object_reader reader(
+                array[i], "/patches/" + std::to_string(i), reasons);
+            core::patch_id id(reader.read("id", std::string()));
+            auto digest = reader.read("digest", std::string());
+            const core::version_number number(
+                reader.read<std::uint64_t>("number", 0));
+            reader.report_unknown_keys();
+            records.push_back(
+                patch_record::make(std::move(id), std::move(digest), number));
+        }
+        return records;
+    }
+
+    json encode_patch_record(const patch_record& value)
+    {
+        return json{
+            { "id", value.get_id().str() },
+            { "digest", value.get_digest() },
+            { "number", value.get_number().get() },
+        };
+    }
+
     json encode_service(const service_settings& value)
     {
         return json{
@@ -253,18 +290,7 @@
         reader, "services", read_service, reasons);
     auto kinds = read_items<kind_settings>(reader, "kinds", read_kind, reasons);
     auto routes = read_items<route>(reader, "routes", read_route, reasons);
-    std::vector<core::patch_id> patches;
-    for (const json& patch : reader.read_array("patches"))
-    {
-        if (patch.is_string())
-        {
-            patches.emplace_back(patch.get<std::string>());
-        }
-        else
-        {
-            reader.report("patches", "holds an id that is not a string");
-        }
-    }
+    auto patches = read_patches(reader, reasons);
     reader.report_unknown_keys();
     auto made
         = configuration::create(number, std::move(services), std::move(kinds),
@@ -294,9 +320,9 @@
     {
         document["routes"].push_back(encode_route(each));
     }
-    for (const core::patch_id& each : value.get_patches())
+    for (const patch_record& each : value.get_patches())
     {
-        document["patches"].push_back(each.str());
+        document["patches"].push_back(encode_patch_record(each));
     }
     return document.dump();
 }
--- /dev/null
+++ b/src/platform/watch_result.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "core/error.hpp"
+#include "core/quantity.hpp"
+#include "platform/stored_object.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace pollenward::platform {
+
+/// Number of writes that the whole store has seen. It goes back only if the
+/// store was restored from an older state.
+using store_revision = core::quantity<struct revision_tag, std::uint64_t>;
+
+/// What one long poll led to: the store's revision with the objects changed
+/// since the revision asked for, or a failure.
+class watch_result {
+public:
+    static watch_result changed(
+        store_revision revision, std::vector<stored_object> objects)
+    {
+        return watch_result(revision, std::move(objects), std::nullopt);
+    }
+
+    static watch_result failed(core::error cause)
+    {
+        return watch_result({}, {}, std::move(cause));
+    }
+
+    bool is_failed() const { return this->cause.has_value(); }
+    store_revision get_revision() const { return this->revision; }
+    const std::vector<stored_object>& get_objects() const
+    {
+        return this->objects;
+    }
+    const std::optional<core::error>& get_cause() const { return this->cause; }
+
+    auto operator<=>(const watch_result&) const = default;
+
+private:
+    watch_result(store_revision revision, std::vector<stored_object> objects,
+        std::optional<core::error> cause)
+        : revision(revision)
+        , objects(std::move(objects))
+        , cause(std::move(cause))
+    {
+    }
+
+    store_revision revision;
+    std::vector<stored_object> objects;
+    std::optional<core::error> cause;
+};
+
+} // namespace pollenward::platform
--- /dev/null
+++ b/standins/platform_stand_in/faults.cpp
@@ -0,0 +1,64 @@
+#include "faults.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace platform_stand_in {
+
+namespace {
+
+    using nlohmann::json;
+
+    bool read_flag(const json& value, bool& target)
+    {
+        target = value.is_boolean() && value.get<bool>();
+        return value.is_boolean();
+    }
+
+    bool read_count(const json& value, std::uint64_t& target)
+    {
+        target = value.is_number_unsigned() ? value.get<std::uint64_t>() : 0;
+        return value.is_number_unsigned();
+    }
+
+    bool read_key(const std::string& key, const json& value, control& target)
+    {
+        faults& switched = target.switched;
+        if (key == "delay_ms")
+        {
+            std::uint64_t delay = 0;
+            const bool is_valid = read_count(value, delay);
+            switched.delay = std::chrono::milliseconds(delay);
+            return is_valid;
+        }
+        return key == "outage"  ? read_flag(value, switched.is_out)
+            : key == "one_way"  ? read_flag(value, switched.is_one_way)
+            : key == "snapshot" ? read_flag(value, target.is_snapshot)
+            : key == "restore"  ? read_flag(value, target.is_restore)
+            : key == "lose_responses"
+            ? read_count(value, switched.lost_responses)
+            : key == "racing_writes" ? read_count(value, switched.racing_writes)
+                                     : false;
+    }
+
+} // namespace
+
+std::optional<control> read_control(
+    const std::string& text, const faults& present)
+{
+    const json message = json::parse(text, nullptr, false);
+    if (!message.is_object())
+    {
+        return std::nullopt;
+    }
+    control wanted{ present };
+    for (const auto& [key, value] : message.items())
+    {
+        if (!read_key(key, value, wanted))
+        {
+            return std::nullopt;
+        }
+    }
+    return wanted;
+}
+
+} // namespace platform_stand_in
