Join the packages into a daemon that runs end to end

Cause: the packages were merged; claims, fleet messages and evidence had types of their own in two packages, and platform_watch needs a complete handler type. Change: fleet claim messages carry the claim types of the caller package; evidence reports name draining workers; document intake is a part of its own; the balancer's check waits for the claim roster, at most 10 s.

--- a/src/fleet/claim_codec.cpp
+++ b/src/fleet/claim_codec.cpp
@@ -1,6 +1,5 @@
 #include "fleet/field_codecs.hpp"
 
-#include <limits>
 #include <utility>
 
 namespace pollenward::fleet {
@@ -9,27 +8,19 @@
 
     using nlohmann::json;
 
-    constexpr std::uint64_t max_uint32
-        = std::numeric_limits<std::uint32_t>::max();
-
-    json encode_claimant(const claimant& by)
-    {
-        return json::array({ by.get_daemon().str(), by.get_incarnation().get(),
-            by.get_attempt() });
-    }
-
-    std::uint32_t read_uint32(array_reader& fields)
+    json encode_claimant(const caller::claimant& holder)
     {
-        return static_cast<std::uint32_t>(fields.read_number(max_uint32));
+        return json::array({ holder.get_daemon().str(),
+            holder.get_incarnation().get(), holder.get_number() });
     }
 
-    claimant decode_claimant(array_reader& fields)
+    caller::claimant decode_claimant(array_reader& fields)
     {
         auto daemon = fields.read_id<core::daemon_id>();
         const auto incarnation
             = fields.read_quantity<core::incarnation_number>();
-        const auto attempt = read_uint32(fields);
-        return claimant::make(std::move(daemon), incarnation, attempt);
+        const auto number = fields.read_number();
+        return caller::claimant::make(std::move(daemon), incarnation, number);
     }
 
     std::uint64_t number_of(caller::claim_state state)
@@ -46,18 +37,21 @@
     {
         auto request = fields.read_id<core::request_id>();
         const auto fingerprint = fields.read_number();
+        auto holder = fields.read_nested(decode_claimant);
         const auto state = read_state(fields);
         const auto age = fields.read_milliseconds();
-        return claim_entry::make(std::move(request), fingerprint, state, age);
+        return claim_entry::make(
+            std::move(request), fingerprint, std::move(holder), state, age);
     }
 
 } // namespace
 
 json encode_fields(const claim_request& content)
 {
-    return json::array({ content.get_request().str(), content.get_fingerprint(),
-        content.get_partition(), content.get_roster().get(),
-        encode_claimant(content.get_claimant()) });
+    const caller::claim_question& question = content.get_question();
+    return json::array({ question.get_id().str(), question.get_fingerprint(),
+        encode_claimant(question.get_holder()),
+        question.get_roster_version().get() });
 }
 
 claim_request decode_fields(
@@ -65,53 +59,53 @@
 {
     auto request = fields.read_id<core::request_id>();
     const auto fingerprint = fields.read_number();
-    const auto partition = read_uint32(fields);
+    auto holder = fields.read_nested(decode_claimant);
     const auto roster = fields.read_quantity<core::version_number>();
-    auto by = fields.read_nested(decode_claimant);
-    return claim_request::make(
-        std::move(request), fingerprint, partition, roster, std::move(by));
+    return claim_request::make(caller::claim_question::make(
+        std::move(request), fingerprint, std::move(holder), roster));
 }
 
 json encode_fields(const claim_reply& content)
 {
-    return json::array({ static_cast<std::uint64_t>(content.get_answer()),
-        number_of(content.get_duplicate_state()), content.get_roster().get() });
+    const caller::claim_answer& answer = content.get_answer();
+    return json::array({ static_cast<std::uint64_t>(answer.get_verdict()),
+        number_of(answer.get_state()), answer.get_roster_version().get() });
 }
 
 claim_reply decode_fields(array_reader& fields, type_of_message<claim_reply>)
 {
-    const auto answer = fields.read_enum(claim_answer::no_quorum);
+    const auto verdict = fields.read_enum(caller::claim_verdict::no_reply);
     const auto state = read_state(fields);
     const auto roster = fields.read_quantity<core::version_number>();
-    return claim_reply::make(answer, state, roster);
+    return claim_reply::make(
+        caller::claim_answer::make(verdict, state, roster));
 }
 
 json encode_fields(const claim_settle& content)
 {
-    return json::array({ content.get_request().str(), content.get_partition(),
-        encode_claimant(content.get_claimant()),
-        number_of(content.get_state()) });
+    return json::array(
+        { content.get_request().str(), encode_claimant(content.get_holder()),
+            number_of(content.get_state()) });
 }
 
 claim_settle decode_fields(array_reader& fields, type_of_message<claim_settle>)
 {
     auto request = fields.read_id<core::request_id>();
-    const auto partition = read_uint32(fields);
-    auto by = fields.read_nested(decode_claimant);
+    auto holder = fields.read_nested(decode_claimant);
     const auto state = read_state(fields);
-    return claim_settle::make(
-        std::move(request), partition, std::move(by), state);
+    return claim_settle::make(std::move(request), std::move(holder), state);
 }
 
 json encode_fields(const claim_copy& content)
 {
-    return json::array({ content.get_partition(), content.get_roster().get(),
-        content.get_cursor() });
+    return json::array({ content.get_partition().get(),
+        content.get_roster().get(), content.get_cursor() });
 }
 
 claim_copy decode_fields(array_reader& fields, type_of_message<claim_copy>)
 {
-    const auto partition = read_uint32(fields);
+    const caller::claim_partition partition(static_cast<std::uint32_t>(
+        fields.read_number(caller::claim_partition_count - 1)));
     const auto roster = fields.read_quantity<core::version_number>();
     auto cursor = fields.read_string();
     return claim_copy::make(partition, roster, std::move(cursor));
@@ -122,9 +116,10 @@
     json entries = json::array();
     for (const claim_entry& each : content.get_entries())
     {
-        entries.push_back(json::array({ each.get_request().str(),
-            each.get_fingerprint(), number_of(each.get_state()),
-            static_cast<std::uint64_t>(each.get_age().count()) }));
+        entries.push_back(
+            json::array({ each.get_request().str(), each.get_fingerprint(),
+                encode_claimant(each.get_holder()), number_of(each.get_state()),
+                static_cast<std::uint64_t>(each.get_age().count()) }));
     }
     return json::array({ content.is_ready(), content.get_roster().get(),
         std::move(entries), content.get_next_cursor() });
--- a/src/fleet/claim_copy.hpp
+++ b/src/fleet/claim_copy.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "caller/claim_grant.hpp"
+#include "caller/claim_partition.hpp"
+#include "caller/claim_record.hpp"
 #include "core/ids.hpp"
 #include "core/runtime_clock.hpp"
 #include "core/units.hpp"
@@ -17,8 +18,8 @@
 class claim_copy {
 public:
     /// `cursor` is empty for the first page, then that of the last page.
-    static claim_copy make(std::uint32_t partition, core::version_number roster,
-        std::string cursor)
+    static claim_copy make(caller::claim_partition partition,
+        core::version_number roster, std::string cursor)
     {
         claim_copy made;
         made.partition = partition;
@@ -27,35 +28,53 @@
         return made;
     }
 
-    std::uint32_t get_partition() const { return this->partition; }
+    caller::claim_partition get_partition() const { return this->partition; }
     core::version_number get_roster() const { return this->roster; }
     const std::string& get_cursor() const { return this->cursor; }
 
     auto operator<=>(const claim_copy&) const = default;
 
 private:
-    std::uint32_t partition = 0;
+    caller::claim_partition partition;
     core::version_number roster;
     std::string cursor;
 };
 
-/// One claim on its way to a new owner.
+/// One claim on its way to a new owner. The age is a span, not a point in time:
+/// daemons do not share a clock.
 class claim_entry {
 public:
-    /// `age` is a span, not a point in time: daemons do not share a clock.
     static claim_entry make(core::request_id request, std::uint64_t fingerprint,
-        caller::claim_state state, core::milliseconds age)
+        caller::claimant holder, caller::claim_state state,
+        core::milliseconds age)
     {
         claim_entry made;
         made.request = std::move(request);
         made.fingerprint = fingerprint;
+        made.holder = std::move(holder);
         made.state = state;
         made.age = age;
         return made;
     }
 
+    static claim_entry from_record(
+        const caller::claim_record& record, core::time_point now)
+    {
+        return make(record.get_id(), record.get_fingerprint(),
+            record.get_holder(), record.get_state(),
+            std::chrono::floor<core::milliseconds>(
+                now - record.get_granted_at()));
+    }
+
+    caller::claim_record to_record(core::time_point now) const
+    {
+        return caller::claim_record::make(this->request, this->fingerprint,
+            this->holder, this->state, now - this->age);
+    }
+
     const core::request_id& get_request() const { return this->request; }
     std::uint64_t get_fingerprint() const { return this->fingerprint; }
+    const caller::claimant& get_holder() const { return this->holder; }
     caller::claim_state get_state() const { return this->state; }
     core::milliseconds get_age() const { return this->age; }
 
@@ -64,6 +83,7 @@
 private:
     core::request_id request;
     std::uint64_t fingerprint = 0;
+    caller::claimant holder;
     caller::claim_state state = caller::claim_state::running;
     core::milliseconds age{};
 };
--- a/src/fleet/claim_settle.hpp
+++ b/src/fleet/claim_settle.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "caller/claim_grant.hpp"
-#include "fleet/claim_request.hpp"
+#include "caller/claimant.hpp"
+#include "core/ids.hpp"
 
 #include <compare>
-#include <cstdint>
 #include <utility>
 
 namespace pollenward::fleet {
@@ -12,28 +12,25 @@
 /// Tells an owner how a claimed request ended.
 class claim_settle {
 public:
-    static claim_settle make(core::request_id request, std::uint32_t partition,
-        claimant by, caller::claim_state state)
+    static claim_settle make(core::request_id request, caller::claimant holder,
+        caller::claim_state state)
     {
         claim_settle made;
         made.request = std::move(request);
-        made.partition = partition;
-        made.by = std::move(by);
+        made.holder = std::move(holder);
         made.state = state;
         return made;
     }
 
     const core::request_id& get_request() const { return this->request; }
-    std::uint32_t get_partition() const { return this->partition; }
-    const claimant& get_claimant() const { return this->by; }
+    const caller::claimant& get_holder() const { return this->holder; }
     caller::claim_state get_state() const { return this->state; }
 
     auto operator<=>(const claim_settle&) const = default;
 
 private:
     core::request_id request;
-    std::uint32_t partition = 0;
-    claimant by;
+    caller::claimant holder;
     caller::claim_state state = caller::claim_state::running;
 };
 
--- a/src/fleet/evidence_codec.cpp
+++ b/src/fleet/evidence_codec.cpp
@@ -48,6 +48,22 @@
             remaining, static_cast<int>(ejections));
     }
 
+    json encode_workers(const std::vector<core::worker_id>& workers)
+    {
+        json rows = json::array();
+        for (const core::worker_id& each : workers)
+        {
+            rows.push_back(json::array({ each.str() }));
+        }
+        return rows;
+    }
+
+    std::vector<core::worker_id> decode_workers(array_reader& fields)
+    {
+        return fields.read_list(
+            [](array_reader& each) { return each.read_id<core::worker_id>(); });
+    }
+
     rank_demand decode_demand(array_reader& fields)
     {
         rank_demand demand{};
@@ -67,10 +83,10 @@
     {
         entries.push_back(encode_entry(each));
     }
-    return json::array(
-        { static_cast<std::uint64_t>(content.get_level()), content.get_source(),
-            content.get_zone().str(), content.get_service().str(),
-            content.get_sequence(), std::move(entries), content.get_demand() });
+    return json::array({ static_cast<std::uint64_t>(content.get_level()),
+        content.get_source(), content.get_zone().str(),
+        content.get_service().str(), content.get_sequence(), std::move(entries),
+        content.get_demand(), encode_workers(content.get_draining()) });
 }
 
 evidence_report decode_fields(
@@ -83,8 +99,10 @@
     const auto sequence = fields.read_number();
     auto entries = fields.read_list(decode_entry);
     const auto demand = fields.read_nested(decode_demand);
+    auto draining = decode_workers(fields);
     return evidence_report::make(level, std::move(source), std::move(zone),
-        std::move(service), sequence, std::move(entries), demand);
+        std::move(service), sequence, std::move(entries), demand)
+        .with_draining(std::move(draining));
 }
 
 json encode_fields(const verdict_reply& content)
@@ -94,14 +112,9 @@
     {
         verdicts.push_back(encode_verdict(each));
     }
-    json draining = json::array();
-    for (const core::worker_id& each : content.get_draining())
-    {
-        draining.push_back(json::array({ each.str() }));
-    }
     return json::array({ std::move(verdicts), content.get_share(),
         static_cast<std::uint64_t>(content.get_share_validity().count()),
-        content.is_overloaded(), std::move(draining) });
+        content.is_overloaded(), encode_workers(content.get_draining()) });
 }
 
 verdict_reply decode_fields(
@@ -111,8 +124,7 @@
     const double share = fields.read_real();
     const auto validity = fields.read_milliseconds();
     const bool is_overloaded = fields.read_bool();
-    auto draining = fields.read_list(
-        [](array_reader& each) { return each.read_id<core::worker_id>(); });
+    auto draining = decode_workers(fields);
     return verdict_reply::make(std::move(verdicts), share, validity,
         is_overloaded, std::move(draining));
 }
--- a/src/fleet/evidence_report.hpp
+++ b/src/fleet/evidence_report.hpp
@@ -63,6 +63,14 @@
         return made;
     }
 
+    /// A copy that names workers which said that they are leaving.
+    evidence_report with_draining(std::vector<core::worker_id> workers) const
+    {
+        evidence_report changed = *this;
+        changed.draining = std::move(workers);
+        return changed;
+    }
+
     report_level get_level() const { return this->level; }
     const std::string& get_source() const { return this->source; }
     const core::zone_id& get_zone() const { return this->zone; }
@@ -76,6 +84,11 @@
 
     const rank_demand& get_demand() const { return this->demand; }
 
+    const std::vector<core::worker_id>& get_draining() const
+    {
+        return this->draining;
+    }
+
     auto operator<=>(const evidence_report&) const = default;
 
 private:
@@ -86,6 +99,7 @@
     std::uint64_t sequence = 0;
     std::vector<evidence_entry> entries;
     rank_demand demand{};
+    std::vector<core::worker_id> draining;
 };
 
 } // namespace pollenward::fleet
--- a/src/fleet/verdict_reply.hpp
+++ b/src/fleet/verdict_reply.hpp
@@ -29,6 +29,13 @@
         return made;
     }
 
+    verdict_reply with_draining(std::vector<core::worker_id> workers) const
+    {
+        verdict_reply changed = *this;
+        changed.draining = std::move(workers);
+        return changed;
+    }
+
     const std::vector<upstream::verdict>& get_verdicts() const
     {
         return this->verdicts;
--- a/src/main/admin_view.cpp
+++ b/src/main/admin_view.cpp
@@ -13,6 +13,10 @@
 
 namespace {
 
+    /// Without a claim roster, claimed requests are refused. A new daemon waits
+    /// for it before it takes requests, but not for a platform that is away.
+    constexpr core::seconds longest_roster_wait{ 10 };
+
     std::string labelled(const std::string& name, const std::string& label,
         std::string_view value)
     {
@@ -60,8 +64,13 @@
 
 bool admin_view::is_ready()
 {
-    return !this->draining
-        && this->parts.configuration.get_number() > core::version_number(0);
+    const core::version_number none(0);
+    const bool has_roster
+        = this->parts.claims.get_roster().get_version() > none;
+    const bool has_waited
+        = core::runtime_clock::now() - this->started_at >= longest_roster_wait;
+    return !this->draining && this->parts.configuration.get_number() > none
+        && (has_roster || has_waited);
 }
 
 boost::asio::awaitable<operators::patch_reply> admin_view::apply(
@@ -71,7 +80,7 @@
         std::move(wanted), this->highest_in_force());
     if (reply.is_applied())
     {
-        co_await this->parts.sync.refresh(configuration_document);
+        co_await this->parts.intake.refresh(configuration_document);
     }
     co_return reply;
 }
@@ -155,7 +164,7 @@
     shown.set("platform_restores",
         static_cast<double>(this->parts.sync.count_restores()));
     shown.set("platform_old_objects",
-        static_cast<double>(this->parts.sync.count_old_objects()));
+        static_cast<double>(this->parts.intake.count_old_objects()));
 }
 
 } // namespace pollenward::main
--- a/src/main/admin_view.hpp
+++ b/src/main/admin_view.hpp
@@ -3,6 +3,7 @@
 #include "main/configuration_in_force.hpp"
 #include "main/dispatch_link.hpp"
 #include "main/document_board.hpp"
+#include "main/document_intake.hpp"
 #include "main/fleet_port.hpp"
 #include "main/guard_link.hpp"
 #include "main/platform_sync.hpp"
@@ -24,6 +25,7 @@
 struct admin_parts {
     configuration_in_force& configuration;
     platform::object_client& store;
+    document_intake& intake;
     platform_sync& sync;
     fleet_port& fleet;
     claim_service& claims;
@@ -57,6 +59,7 @@
 
     admin_parts parts;
     operators::patch_service<platform::object_client> patches;
+    const core::time_point started_at = core::runtime_clock::now();
     std::atomic<bool> draining{ false };
 };
 
--- a/src/main/daemon.cpp
+++ b/src/main/daemon.cpp
@@ -47,7 +47,8 @@
     , upstreams(this->dispatcher, this->guard)
     , limits(this->dispatcher, this->configuration)
     , gate(this->limits)
-    , sync(context, this->store, this->fleet)
+    , intake(this->store, this->fleet)
+    , sync(context, this->store, this->intake, this->fleet)
     , keeper(context, this->store, this->claims, this->claims_link, this->fleet)
     , evidence(context, this->configuration, this->workers, this->standings,
           this->dispatcher, this->gate, this->homes, this->fleet)
@@ -56,8 +57,9 @@
     , requests(
           this->gate, this->claims, this->guard, this->upstreams, this->metrics)
     , callers(context, this->configuration, this->requests)
-    , view({ this->configuration, this->store, this->sync, this->fleet,
-          this->claims, this->guard, this->dispatcher, this->metrics })
+    , view({ this->configuration, this->store, this->intake, this->sync,
+          this->fleet, this->claims, this->guard, this->dispatcher,
+          this->metrics })
     , admin(context, this->view)
 {
 }
--- a/src/main/daemon.hpp
+++ b/src/main/daemon.hpp
@@ -7,6 +7,7 @@
 #include "main/configuration_in_force.hpp"
 #include "main/dispatch_link.hpp"
 #include "main/document_board.hpp"
+#include "main/document_intake.hpp"
 #include "main/evidence_loop.hpp"
 #include "main/fleet_port.hpp"
 #include "main/guard_link.hpp"
@@ -69,6 +70,7 @@
     dispatch_link upstreams;
     service_limits limits;
     admission_gate gate;
+    document_intake intake;
     platform_sync sync;
     roster_keeper keeper;
     evidence_loop evidence;
--- a/src/main/fleet_port.cpp
+++ b/src/main/fleet_port.cpp
@@ -15,6 +15,13 @@
 namespace asio = boost::asio;
 
 struct fleet_port::joined_node {
+    joined_node(fleet_port& port, document_board& board, message_router& router,
+        const std::vector<core::endpoint>& seeds)
+        : node(port.context.get_executor(), port.transport, board, router,
+            port.identity, seeds, std::random_device()())
+    {
+    }
+
     fleet::fleet_node<fleet::nng_transport, document_board, message_router>
         node;
 };
@@ -37,9 +44,7 @@
     {
         return false;
     }
-    this->joined = std::make_unique<joined_node>(
-        joined_node{ { this->context.get_executor(), this->transport, board,
-            router, this->identity, seeds, std::random_device()() } });
+    this->joined = std::make_unique<joined_node>(*this, board, router, seeds);
     this->joined->node.start();
     return true;
 }
--- a/src/main/fleet_port.hpp
+++ b/src/main/fleet_port.hpp
@@ -4,6 +4,7 @@
 #include "core/ids.hpp"
 #include "core/runtime_clock.hpp"
 #include "fleet/document.hpp"
+#include "fleet/document_spread.hpp"
 #include "fleet/home.hpp"
 #include "fleet/member.hpp"
 #include "fleet/message.hpp"
--- a/src/main/platform_sync.cpp
+++ b/src/main/platform_sync.cpp
@@ -1,16 +1,12 @@
 #include "main/platform_sync.hpp"
 
-#include "caller/claim_roster_json.hpp"
 #include "fleet/watcher.hpp"
-#include "main/document_names.hpp"
-#include "operators/configuration_json.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <easylogging++.h>
 
 #include <random>
-#include <utility>
 
 namespace pollenward::main {
 
@@ -20,37 +16,14 @@
 
     constexpr core::milliseconds role_interval{ 1000 };
 
-    /// The number that a numbered object carries in its value.
-    std::optional<core::version_number> number_in(
-        const platform::stored_object& object)
-    {
-        if (object.get_name() == configuration_document)
-        {
-            std::vector<core::error> faults;
-            const auto decoded
-                = operators::decode_configuration(object.get_value(), faults);
-            return decoded ? std::optional(decoded->get_number())
-                           : std::nullopt;
-        }
-        core::error reason;
-        const auto decoded
-            = caller::decode_claim_roster(object.get_value(), reason);
-        return decoded ? std::optional(decoded->get_version()) : std::nullopt;
-    }
-
-    bool is_numbered(const core::document_name& name)
-    {
-        return name == configuration_document || name == roster_document;
-    }
-
 } // namespace
 
 platform_sync::platform_sync(asio::io_context& context,
-    platform::object_client& store, fleet_port& fleet)
+    platform::object_client& store, document_intake& intake,
+    const fleet_port& fleet)
     : context(context)
-    , store(store)
     , fleet(fleet)
-    , watch(context, store, *this, std::random_device()())
+    , watch(context, store, intake, std::random_device()())
 {
 }
 
@@ -71,87 +44,18 @@
     {
         const bool is_watcher
             = fleet::is_watcher(this->fleet.self(), this->fleet.members());
-        if (is_watcher != this->watch.is_watching())
+        if (is_watcher && !this->watch.is_watching())
+        {
+            LOG(INFO) << "starts watching the platform";
+            this->watch.start();
+        }
+        else if (!is_watcher && this->watch.is_watching())
         {
-            LOG(INFO) << (is_watcher ? "starts" : "stops")
-                      << " watching the platform";
-            is_watcher ? this->watch.start() : this->watch.stop();
+            LOG(INFO) << "stops watching the platform";
+            this->watch.stop();
         }
         co_await core::wait_until(core::runtime_clock::now() + role_interval);
     }
 }
 
-asio::awaitable<void> platform_sync::handle_changes(
-    const std::vector<platform::stored_object>& objects)
-{
-    for (const platform::stored_object& object : objects)
-    {
-        co_await this->take(object);
-    }
-}
-
-asio::awaitable<void> platform_sync::refresh(core::document_name name)
-{
-    const auto read = co_await this->store.get(std::move(name));
-    if (read.get_object())
-    {
-        co_await this->take(*read.get_object());
-    }
-}
-
-asio::awaitable<void> platform_sync::take(platform::stored_object object)
-{
-    auto offered = this->document_of(object);
-    if (!offered)
-    {
-        LOG(ERROR) << "object " << object.get_name() << " version "
-                   << object.get_version() << " is malformed";
-        co_return;
-    }
-    const auto held = this->fleet.find(object.get_name());
-    const bool is_old = held && offered->get_version() < held->get_version();
-    if (is_old && is_numbered(object.get_name()))
-    {
-        ++this->old_objects;
-        co_await this->write_back(std::move(object), *held);
-        co_return;
-    }
-    this->fleet.publish(std::move(*offered));
-}
-
-asio::awaitable<void> platform_sync::write_back(
-    platform::stored_object stored, const fleet::document& held)
-{
-    LOG(WARNING) << "the store holds an old version of " << stored.get_name()
-                 << "; writing version " << held.get_version() << " back";
-    // A conflict means that another watcher was faster, and an unknown result
-    // is settled by the next look at the object.
-    co_await this->store.put(
-        stored.get_name(), stored.get_version(), held.get_body());
-}
-
-std::optional<fleet::document> platform_sync::document_of(
-    const platform::stored_object& object) const
-{
-    const core::document_name& name = object.get_name();
-    if (is_numbered(name))
-    {
-        const auto number = number_in(object);
-        return number ? std::optional(
-                   fleet::document::make(name, *number, object.get_value()))
-                      : std::nullopt;
-    }
-    // Host lists have no number of their own. After a restore the store counts
-    // from an older version on; the list is then numbered above the held one,
-    // or the fleet would never take it.
-    auto version = object.get_version();
-    const auto held = this->fleet.find(name);
-    if (held && version <= held->get_version()
-        && object.get_value() != held->get_body())
-    {
-        version = held->get_version() + core::version_number(1);
-    }
-    return fleet::document::make(name, version, object.get_value());
-}
-
 } // namespace pollenward::main
--- a/src/main/roster_keeper.hpp
+++ b/src/main/roster_keeper.hpp
@@ -3,7 +3,6 @@
 #include "main/claim_link.hpp"
 #include "main/document_board.hpp"
 #include "main/fleet_port.hpp"
-#include "main/platform_sync.hpp"
 #include "platform/object_client.hpp"
 
 #include <boost/asio/awaitable.hpp>
