--- a/src/caller/http_server.hpp
+++ b/src/caller/http_server.hpp
@@ -185,17 +185,22 @@
     boost::asio::awaitable<void> serve_requests(
         caller_link& link, std::uint64_t number)
     {
-        bool is_open = true;
-        while (is_open && co_await this->wait_for_request(link))
+        using namespace boost::asio::experimental::awaitable_operators;
+        while (true)
         {
+            const bool has_request = co_await this->wait_for_request(link);
+            if (!has_request)
+            {
+                break;
+            }
             this->links.begin_request(number);
-            is_open = co_await this->serve_one(link);
+            const bool is_kept = co_await this->serve_one(link);
             this->links.end_request(number);
-        }
-        if (!is_open)
-        {
-            using namespace boost::asio::experimental::awaitable_operators;
-            co_await (link.close_gently() || this->wait_for(close_limit));
+            if (!is_kept)
+            {
+                co_await (link.close_gently() || this->wait_for(close_limit));
+                break;
+            }
         }
         link.close();
     }
@@ -263,10 +268,13 @@
                 link, incoming, http::make_error_code(http::error::body_limit));
         }
         incoming.body_limit(limit);
-        if (is_continue_expected(incoming.get()) && !incoming.is_done()
-            && !co_await this->write_continue(link))
+        if (is_continue_expected(incoming.get()) && !incoming.is_done())
         {
-            co_return false;
+            const bool is_written = co_await this->write_continue(link);
+            if (!is_written)
+            {
+                co_return false;
+            }
         }
         const auto failure = co_await this->complete_within(body_limit,
             http::async_read(link.socket, link.buffer, incoming, as_result()));
--- /dev/null
+++ b/tests/caller/http_server_test.cpp
@@ -0,0 +1,324 @@
+#include "caller/http_server.hpp"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+using namespace pollenward;
+using namespace pollenward::caller;
+namespace asio = boost::asio;
+using core::runtime_clock;
+
+namespace {
+
+class one_route {
+public:
+    std::optional<operators::kind_settings> find(
+        std::string_view, std::string_view path) const
+    {
+        core::error reason;
+        const auto kind = operators::kind_settings::create(
+            core::kind_id("vote"), core::service_id("ballots"), false,
+            core::rank::urgent, core::seconds(5), core::byte_count(10), reason);
+        return path.starts_with("/votes") ? kind : std::nullopt;
+    }
+
+    core::milliseconds max_timeout() const { return core::seconds(60); }
+};
+
+/// Answers with the request's target; holds targets that contain "hold" until
+/// release() or until the request is cancelled.
+class echo_handler {
+public:
+    asio::awaitable<caller_answer> handle(caller_request request)
+    {
+        const std::string target = request.get_message().get_target();
+        const bool is_held = target.find("hold") != std::string::npos;
+        this->change([this] { ++this->started; });
+        if (is_held)
+        {
+            core::runtime_timer timer(
+                co_await asio::this_coro::executor, core::time_point::max());
+            this->change([&] {
+                this->release = [&timer] {
+                    asio::post(
+                        timer.get_executor(), [&timer] { timer.cancel(); });
+                };
+            });
+            boost::system::error_code ignored;
+            co_await timer.async_wait(
+                asio::redirect_error(asio::use_awaitable, ignored));
+            const auto state = co_await asio::this_coro::cancellation_state;
+            const bool is_cancelled
+                = state.cancelled() != asio::cancellation_type::none;
+            this->change([&] { this->cancelled += is_cancelled ? 1 : 0; });
+        }
+        co_return caller_answer::make(outcome::answered(200), {}, target);
+    }
+
+    /// Waits until the predicate, which sees the handler locked, is true.
+    template <class Predicate>
+    void wait_for(Predicate predicate)
+    {
+        std::unique_lock lock(this->mutex);
+        this->changed.wait(lock, predicate);
+    }
+
+    int started = 0;
+    int cancelled = 0;
+    std::function<void()> release;
+
+private:
+    template <class Change>
+    void change(Change change)
+    {
+        const std::lock_guard lock(this->mutex);
+        change();
+        this->changed.notify_all();
+    }
+
+    std::mutex mutex;
+    std::condition_variable changed;
+};
+
+/// A server on a loopback port with a paused clock. Without threads, the test
+/// runs it by run_ready().
+class server_test {
+public:
+    explicit server_test(int thread_count = 2)
+    {
+        runtime_clock::pause();
+        core::error reason;
+        REQUIRE(this->server.listen(
+            *core::endpoint::create("127.0.0.1:0", reason), reason));
+        for (int i = 0; i < thread_count; ++i)
+        {
+            this->threads.emplace_back([this] { this->context.run(); });
+        }
+    }
+
+    ~server_test()
+    {
+        this->context.stop();
+        this->threads.clear();
+        runtime_clock::resume();
+    }
+
+    void advance(core::duration time)
+    {
+        runtime_clock::advance(time);
+        core::wake_timers(this->context.get_executor());
+    }
+
+    /// Runs the server until it waits. What was sent over loopback is readable
+    /// when the send returns.
+    void run_ready() { this->context.poll(); }
+
+    asio::io_context context{ 2 };
+    one_route routes;
+    echo_handler handler;
+    http_server<one_route, echo_handler> server{ context, routes, handler };
+    std::vector<std::jthread> threads;
+};
+
+/// A caller with a blocking socket.
+class caller_socket {
+public:
+    explicit caller_socket(const server_test& test)
+    {
+        this->socket.connect(
+            { asio::ip::make_address("127.0.0.1"), test.server.get_port() });
+    }
+
+    void send(const std::string& text)
+    {
+        asio::write(this->socket, asio::buffer(text));
+    }
+
+    /// Everything up to and including `end`.
+    std::string read_until(const std::string& end)
+    {
+        const auto count = asio::read_until(
+            this->socket, asio::dynamic_buffer(this->buffer), end);
+        const std::string text = this->buffer.substr(0, count);
+        this->buffer.erase(0, count);
+        return text;
+    }
+
+    /// Everything until the server closes the connection.
+    std::string read_all()
+    {
+        boost::system::error_code ended;
+        asio::read(this->socket, asio::dynamic_buffer(this->buffer), ended);
+        CHECK(ended == asio::error::eof);
+        return this->buffer;
+    }
+
+    asio::io_context context;
+    asio::ip::tcp::socket socket{ context };
+    std::string buffer;
+};
+
+std::string get(const std::string& target, const std::string& fields = "")
+{
+    return "GET " + target + " HTTP/1.1\r\nHost: a\r\n" + fields + "\r\n";
+}
+
+bool has(const std::string& text, const std::string& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+// Guards against bad input that reaches a worker, and against an answer
+// without the outcome and the id that callers rely on.
+TEST_CASE("bad requests are refused before they are handled", "[caller]")
+{
+    server_test test;
+    caller_socket caller(test);
+    const auto refused = [&](const std::string& sent, const char* status) {
+        caller.send(sent);
+        const auto answer = caller.read_all();
+        INFO(sent.substr(0, 200) << answer);
+        CHECK(has(answer, std::string("HTTP/1.1 ") + status));
+        CHECK(has(answer, "Request-Outcome: not-run"));
+        CHECK(has(answer, "Request-Id: "));
+        CHECK(test.handler.started == 0);
+    };
+    const std::string post = "POST /votes HTTP/1.1\r\nHost: a\r\n";
+    SECTION("malformed")
+    {
+        refused("nonsense\r\n\r\n", "400");
+    }
+    SECTION("id")
+    {
+        refused(get("/votes", "Request-Id: a b\r\n"), "400");
+    }
+    SECTION("two ids")
+    {
+        refused(get("/votes", "Request-Id: a\r\nRequest-Id: b\r\n"), "400");
+    }
+    SECTION("timeout")
+    {
+        refused(get("/votes", "Request-Timeout-Ms: -1\r\n"), "400");
+    }
+    SECTION("no host")
+    {
+        refused("GET /votes HTTP/1.1\r\n\r\n", "400");
+    }
+    SECTION("no route")
+    {
+        refused(get("/other"), "404");
+    }
+    SECTION("announced body")
+    {
+        refused(
+            post + "Expect: 100-continue\r\nContent-Length: 11\r\n\r\n", "413");
+    }
+    SECTION("chunked body")
+    {
+        refused(post + "Transfer-Encoding: chunked\r\n\r\nb\r\n12345678901\r\n",
+            "413");
+    }
+    SECTION("header")
+    {
+        refused(get("/votes", "A: " + std::string(20000, 'a') + "\r\n"), "431");
+    }
+}
+
+// Guards against lost or reordered answers on one connection, and against a
+// body in the answer to HEAD, which would be read as the next answer.
+TEST_CASE("requests on one connection are answered in order", "[caller]")
+{
+    server_test test;
+    caller_socket caller(test);
+    caller.send(get("/votes/hold") + get("/votes/2")
+        + "HEAD /votes/3 HTTP/1.1\r\nHost: a\r\n\r\n");
+    test.handler.wait_for([&] { return bool(test.handler.release); });
+    test.handler.release();
+    CHECK(has(caller.read_until("/votes/hold"), "Request-Outcome: answered"));
+    caller.read_until("/votes/2");
+    CHECK(has(caller.read_until("\r\n\r\n"), "Content-Length: 8"));
+    caller.send("POST /votes/4 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n"
+                "Expect: 100-continue\r\nRequest-Id: mine\r\n\r\n");
+    CHECK(has(caller.read_until("\r\n\r\n"), "HTTP/1.1 100"));
+    caller.send("ab");
+    CHECK(has(caller.read_until("/votes/4"), "Request-Id: mine"));
+    CHECK(test.handler.cancelled == 0);
+}
+
+// Guards against callers that hold a connection with half a request.
+TEST_CASE("a slow caller is told so and an idle one is closed", "[caller]")
+{
+    server_test test(0);
+    caller_socket idle(test);
+    caller_socket slow(test);
+    test.run_ready();
+    slow.send("GET /vo");
+    test.run_ready();
+    CHECK(test.server.in_flight() == 1);
+    test.advance(header_limit);
+    test.run_ready();
+    CHECK(test.server.in_flight() == 0);
+    slow.socket.shutdown(asio::socket_base::shutdown_send);
+    test.run_ready();
+    const auto answer = slow.read_all();
+    CHECK(has(answer, "HTTP/1.1 408"));
+    CHECK(has(answer, "Request-Outcome: not-run"));
+    test.advance(idle_limit);
+    test.run_ready();
+    CHECK(idle.read_all().empty());
+}
+
+// Guards against work for a caller that is gone.
+TEST_CASE("a request is cancelled when its caller goes away", "[caller]")
+{
+    server_test test;
+    caller_socket caller(test);
+    caller.send(get("/votes/hold"));
+    test.handler.wait_for([&] { return test.handler.started == 1; });
+    caller.socket.close();
+    test.handler.wait_for([&] { return test.handler.cancelled == 1; });
+}
+
+// Guards against a shutdown that interrupts a request, that never ends, or
+// that cuts requests without counting them.
+TEST_CASE("a drain lets requests end and closes idle callers", "[caller]")
+{
+    server_test test;
+    caller_socket busy(test);
+    caller_socket idle(test);
+    idle.send(get("/votes/1"));
+    idle.read_until("/votes/1");
+    busy.send(get("/votes/hold"));
+    test.handler.wait_for([&] { return bool(test.handler.release); });
+    test.server.stop_accepting();
+    test.server.begin_drain();
+    CHECK(idle.read_all().empty());
+    CHECK(test.server.in_flight() == 1);
+    auto is_idle = asio::co_spawn(test.context,
+        test.server.wait_until_idle(runtime_clock::now() + core::seconds(5)),
+        asio::use_future);
+    SECTION("in time")
+    {
+        test.handler.release();
+        CHECK(is_idle.get());
+        CHECK(has(busy.read_all(), "Connection: close"));
+        CHECK(test.server.cut() == 0);
+    }
+    SECTION("not in time")
+    {
+        test.advance(core::seconds(5));
+        CHECK_FALSE(is_idle.get());
+        CHECK(test.server.cut() == 1);
+        test.handler.wait_for([&] { return test.handler.cancelled == 1; });
+    }
+}
