--- a/src/upstream/attempt_runner.cpp
+++ b/src/upstream/attempt_runner.cpp
@@ -38,8 +38,10 @@
                                       : outcome;
     }
     auto outcome = attempt_outcome::make(co_await connection.exchange(request));
+    // A whole response that was discarded shows that the worker lives.
     co_return outcome.with_crash(
-        outcome.get_last().get_result() == attempt_result::broken_after_send);
+        outcome.get_last().get_result() == attempt_result::broken_after_send
+        && !connection.has_whole_response());
 }
 
 asio::awaitable<attempt_outcome> attempt_runner::repeat(connection_lease& lease,
--- a/src/upstream/worker_connection.cpp
+++ b/src/upstream/worker_connection.cpp
@@ -193,6 +193,7 @@
             co_return this->failed(kind, failure.message());
         }
     }
+    this->response_ended = true;
     const auto& incoming = parser.get();
     const bool names_request = incoming["Request-Id"] == request.get_id().str();
     if (!has_known_end(parser) || (this->answered_early && !names_request))
@@ -213,6 +214,7 @@
 {
     this->reusable = false;
     this->response_started = false;
+    this->response_ended = false;
     this->answered_early = false;
     this->written = 0;
     const core::time_point deadline = request.get_deadline();
--- a/src/upstream/worker_connection.hpp
+++ b/src/upstream/worker_connection.hpp
@@ -54,6 +54,9 @@
     /// Whether any byte of a response to the last request was read.
     bool has_response_bytes() const { return this->response_started; }
 
+    /// Whether a whole response was read, even one that was then discarded.
+    bool has_whole_response() const { return this->response_ended; }
+
     /// Whether there are bytes to read or the worker closed the connection.
     /// Either makes a connection without an exchange unusable.
     bool has_pending_input();
@@ -73,6 +76,7 @@
     std::size_t written = 0;
     bool reusable = false;
     bool response_started = false;
+    bool response_ended = false;
     /// Bytes arrived before the request was written.
     bool answered_early = false;
 };
