Let homes confirm each other's ejections and announce them

Cause: after one home ejected a worker, its zone sent no more work, and the other homes could lack evidence for long; daemons learned of an ejection only with their next report, up to 500 ms later. Change: on_reply() takes in another home's verdicts, which then need failures in two zones only; take_notice() gives the verdicts to send to the zone's daemons at once. An ejection must hold without the minority of zones that see the worker worst, and only for a fault that is still present.

--- a/src/fleet/service_home.cpp
+++ b/src/fleet/service_home.cpp
@@ -41,15 +41,81 @@
     return is_due ? next.with_decision(now) : next;
 }
 
+service_home_state service_home_state::with_reply(
+    const verdict_reply& reply, core::time_point now) const
+{
+    service_home_state next = *this;
+    for (const upstream::verdict& each : reply.get_verdicts())
+    {
+        if (each.get_state() == upstream::worker_state::ejected)
+        {
+            next.elsewhere.insert_or_assign(
+                each.get_worker(), now + each.get_remaining());
+        }
+    }
+    return next.with_decision(now);
+}
+
+std::vector<core::worker_id> service_home_state::ejected() const
+{
+    std::vector<core::worker_id> found;
+    for (const upstream::worker_record& each : this->records)
+    {
+        if (each.get_state() == upstream::worker_state::ejected)
+        {
+            found.push_back(each.get_worker());
+        }
+    }
+    return found;
+}
+
+std::vector<core::worker_id> service_home_state::ejected_elsewhere(
+    core::time_point now) const
+{
+    std::vector<core::worker_id> found;
+    for (const auto& [worker, end] : this->elsewhere)
+    {
+        if (now < end)
+        {
+            found.push_back(worker);
+        }
+    }
+    return found;
+}
+
+service_home_state service_home_state::with_announcement() const
+{
+    service_home_state next = *this;
+    next.announced = this->ejected();
+    return next;
+}
+
+bool service_home_state::has_news() const
+{
+    // Both lists are sorted, as the records are.
+    const auto present = this->ejected();
+    return !std::includes(this->announced.begin(), this->announced.end(),
+        present.begin(), present.end());
+}
+
+verdict_reply service_home_state::notice(core::time_point now) const
+{
+    return verdict_reply::make(this->verdicts(now), 0, core::milliseconds(0),
+        false, this->view.get_draining());
+}
+
 service_home_state service_home_state::with_decision(core::time_point now) const
 {
     service_home_state next = *this;
     next.merge = this->merge.without_expired(now);
+    std::erase_if(
+        next.elsewhere, [&](const auto& entry) { return now >= entry.second; });
     const auto silent = next.merge.silent_zones(now);
     next.records = upstream::decide_ejections(
         upstream::ejection_input::make(this->view.get_workers(),
             this->view.get_draining(), this->view.get_floor_share(),
-            next.merge.sources(now), static_cast<int>(silent.size())),
+            next.merge.sources(now), static_cast<int>(silent.size()),
+            this->ejected_elsewhere(now)),
         this->records, now);
     next.decided = now;
     return next;
@@ -206,6 +272,35 @@
     return state->get_merge().zone_summary(service, sequence, now);
 }
 
+void service_home::on_reply(const core::service_id& service,
+    const verdict_reply& reply, core::time_point now)
+{
+    this->states.update(service, [&](const auto& present) {
+        return present ? std::optional(present->with_reply(reply, now))
+                       : present;
+    });
+}
+
+std::optional<verdict_reply> service_home::take_notice(
+    const core::service_id& service, core::time_point now)
+{
+    std::optional<verdict_reply> notice;
+    this->states.update(service, [&](const auto& present) {
+        if (!present)
+        {
+            return present;
+        }
+        if (present->has_news())
+        {
+            notice = present->notice(now);
+        }
+        // Also forgets workers that are back, so that their next ejection is
+        // news again.
+        return std::optional(present->with_announcement());
+    });
+    return notice;
+}
+
 void service_home::forget(const core::service_id& service)
 {
     this->states.erase(service);
--- a/src/fleet/service_home.hpp
+++ b/src/fleet/service_home.hpp
@@ -14,7 +14,9 @@
 
 #include <compare>
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -90,6 +92,17 @@
     service_home_state with_report(
         const evidence_report& report, core::time_point now) const;
 
+    /// The state after another home's reply to a summary. Its ejections last
+    /// here as long as there, but need some evidence of their own.
+    service_home_state with_reply(
+        const verdict_reply& reply, core::time_point now) const;
+
+    /// The state after its ejections have been announced.
+    service_home_state with_announcement() const;
+
+    /// True if a worker was ejected since the last announcement.
+    bool has_news() const;
+
     /// Decides anew. Holds and trials end by time, without any report.
     service_home_state with_decision(core::time_point now) const;
 
@@ -106,10 +119,15 @@
     verdict_reply reply_to(
         const evidence_report& report, core::time_point now) const;
 
+    /// The verdicts without a share.
+    verdict_reply notice(core::time_point now) const;
+
     bool operator==(const service_home_state&) const = default;
 
 private:
     std::vector<upstream::verdict> verdicts(core::time_point now) const;
+    std::vector<core::worker_id> ejected() const;
+    std::vector<core::worker_id> ejected_elsewhere(core::time_point now) const;
     double healthy_slots(core::time_point now) const;
     std::vector<share_claim> zone_claims(core::time_point now) const;
     double slots_without_silent_zones(core::time_point now) const;
@@ -121,6 +139,8 @@
     evidence_merge merge;
     service_view view;
     std::vector<upstream::worker_record> records;
+    std::vector<core::worker_id> announced;
+    std::map<core::worker_id, core::time_point> elsewhere;
     core::time_point decided = core::time_point::min();
 };
 
@@ -145,6 +165,17 @@
     verdict_reply on_report(
         const evidence_report& report, core::time_point now);
 
+    /// Takes in the reply of another home to a summary.
+    void on_reply(const core::service_id& service, const verdict_reply& reply,
+        core::time_point now);
+
+    /// The verdicts if a worker was ejected since the last call, else nothing.
+    /// To be called after on_report(), on_reply() and summary(), and to be sent
+    /// to the daemons of the zone at once: waiting for their next reports would
+    /// take up to half a second. Its share is 0; the daemon keeps its share.
+    std::optional<verdict_reply> take_notice(
+        const core::service_id& service, core::time_point now);
+
     /// The summary of the own zone for the homes of the service in the other
     /// zones. Also decides anew and forgets what has expired.
     evidence_report summary(
--- a/src/upstream/ejection_policy.cpp
+++ b/src/upstream/ejection_policy.cpp
@@ -17,6 +17,10 @@
     // One or two bad answers can come from one bad request; an ejection needs
     // more than that whatever the rate.
     constexpr double least_failures = 5;
+    constexpr double least_trimmed_failures = 2;
+    // Without the zones that see the worker worst, the others only have to
+    // confirm a fault; the full bound would ask for the same evidence twice.
+    constexpr double trimmed_rate_bound = failure_rate_bound / 2;
     // On trial, traffic is a sixteenth, and the worker was bad before.
     constexpr double least_trial_failures = 2;
     // A worker that fails 3 in 10 passes ten requests by chance in 3 of 100.
@@ -39,6 +43,8 @@
         int zones_with_traffic = 0;
         int zones_with_failures = 0;
         double lower_bound = 0;
+        /// The same without the zones that see it worst; see widest_view().
+        double trimmed_lower_bound = 0;
 
         bool is_suspect() const { return shows_failures(this->recent); }
     };
@@ -71,17 +77,62 @@
             left(counts.get_slow_failures(), old.get_slow_failures()));
     }
 
+    double worst_rate(const evidence_counts& counts)
+    {
+        const auto rate = [](double failures, double successes) {
+            return failures > 0 ? failures / (failures + successes) : 0;
+        };
+        return std::max(
+            rate(counts.get_fast_failures(), counts.get_fast_successes()),
+            rate(counts.get_slow_failures(), counts.get_slow_successes()));
+    }
+
+    /// The sum without the zones that see the worker worst, as many as are a
+    /// minority. A worker that a region cannot reach looks bad to that region's
+    /// zones; one failure elsewhere must not complete the case against it.
+    evidence_counts widest_view(std::vector<evidence_counts> by_zone)
+    {
+        std::sort(by_zone.begin(), by_zone.end(),
+            [](const auto& left, const auto& right) {
+                return worst_rate(left) > worst_rate(right);
+            });
+        const std::size_t needed = std::max(
+            std::min<std::size_t>(2, by_zone.size()), (by_zone.size() + 1) / 2);
+        evidence_counts sum;
+        for (std::size_t i = needed - std::min<std::size_t>(needed, 1);
+             i < by_zone.size(); ++i)
+        {
+            sum = sum + by_zone[i];
+        }
+        return sum;
+    }
+
+    /// False if the failures are over: the slow window remembers a fault for
+    /// long after it has ended.
+    bool is_failing_now(const evidence_counts& counts)
+    {
+        const double total
+            = counts.get_fast_failures() + counts.get_fast_successes();
+        return total < 1
+            || counts.get_fast_failures() > failure_rate_bound * total;
+    }
+
     assessment assess(const core::worker_id& worker,
         const std::vector<source_evidence>& zones, const record_map& records,
         core::time_point now)
     {
         assessment made;
         made.worker = worker;
+        std::vector<evidence_counts> by_zone;
         for (const source_evidence& zone : zones)
         {
             const evidence_counts counts = zone.counts_of(worker);
             made.total = made.total + counts;
-            made.zones_with_traffic += has_traffic(counts) ? 1 : 0;
+            if (has_traffic(counts))
+            {
+                ++made.zones_with_traffic;
+                by_zone.push_back(counts);
+            }
             made.zones_with_failures += shows_failures(counts) ? 1 : 0;
         }
         const auto record = records.find(worker);
@@ -89,6 +140,8 @@
             ? made.total
             : since_baseline(record->second, made.total, now);
         made.lower_bound = failure_bound_of(made.recent, least_failures);
+        made.trimmed_lower_bound = failure_bound_of(
+            widest_view(std::move(by_zone)), least_trimmed_failures);
         return made;
     }
 
@@ -105,10 +158,10 @@
         return all;
     }
 
-    /// Half of the zones with traffic must see the failures, not just two: a
-    /// region that is cut off from a worker has two zones. A zone that is not
-    /// heard any more counts if fewer than two are heard, so that a zone that
-    /// is cut off from all others ejects nothing on its own word.
+    /// Half of the zones with traffic must see the failures, and two of them. A
+    /// zone that is not heard any more counts if fewer than two are heard, so
+    /// that a zone that is cut off from all others ejects nothing on its own
+    /// word.
     bool is_seen_widely(const assessment& made, int silent_zones)
     {
         const int known = made.zones_with_traffic + silent_zones;
@@ -162,29 +215,39 @@
         return bad >= 2 && bad * 2 >= used;
     }
 
-    /// The zones whose workers all show failures, while none of the evidence
-    /// is from the zone itself: the zone may be cut off as well as broken.
+    /// True if the worker was reached lately and nothing failed.
+    bool is_known_good(const evidence_counts& counts)
+    {
+        return counts.get_fast_successes() >= 1
+            && counts.get_fast_failures() < 0.5;
+    }
+
+    /// The zones in which at least two workers show failures and none is known
+    /// to be good: the zone as a whole is cut off or broken, which is a shared
+    /// cause. Each daemon avoids its workers on its own (local_avoidance).
     std::vector<core::zone_id> unreachable_zones(
         const std::vector<worker>& workers, const std::vector<assessment>& all,
-        const std::vector<source_evidence>& zones)
+        const record_map& records, core::time_point now)
     {
-        std::map<core::zone_id, std::pair<int, int>> counts;
+        struct tally {
+            int bad = 0;
+            int good = 0;
+        };
+        std::map<core::zone_id, tally> tallies;
         for (std::size_t i = 0; i < workers.size(); ++i)
         {
-            auto& [used, bad] = counts[workers[i].get_zone()];
-            used += has_traffic(all[i].total) ? 1 : 0;
-            bad += all[i].is_suspect() ? 1 : 0;
+            tally& zone = tallies[workers[i].get_zone()];
+            const auto record = records.find(workers[i].get_id());
+            const bool is_ejected = record != records.end()
+                && is_recently_ejected(record->second, now);
+            const bool is_bad = is_ejected || all[i].is_suspect();
+            zone.bad += is_bad ? 1 : 0;
+            zone.good += !is_bad && is_known_good(all[i].recent) ? 1 : 0;
         }
         std::vector<core::zone_id> unreachable;
-        for (const auto& [zone, count] : counts)
+        for (const auto& [zone, count] : tallies)
         {
-            const bool is_seen_from_inside = std::any_of(
-                zones.begin(), zones.end(), [&zone = zone](const auto& each) {
-                    return each.get_zone() == zone
-                        && !each.get_counts().empty();
-                });
-            if (count.second >= 2 && count.second >= count.first
-                && !is_seen_from_inside)
+            if (count.bad >= 2 && count.good == 0)
             {
                 unreachable.push_back(zone);
             }
@@ -265,6 +328,27 @@
             == draining.end();
     }
 
+    /// True if the evidence alone is enough for an ejection.
+    bool is_condemned(const assessment& made, double others, int silent_zones)
+    {
+        return made.lower_bound > std::max(failure_rate_bound, others)
+            && made.trimmed_lower_bound > std::max(trimmed_rate_bound, others)
+            && is_failing_now(made.recent)
+            && is_seen_widely(made, silent_zones);
+    }
+
+    /// True if another home ejected the worker and two zones still show
+    /// failures. The zones of the other home send the worker no more work, so
+    /// that the evidence left may never be enough alone.
+    bool is_confirmed(const assessment& made,
+        const std::vector<core::worker_id>& ejected_elsewhere)
+    {
+        return made.is_suspect() && made.zones_with_failures >= 2
+            && std::find(ejected_elsewhere.begin(), ejected_elsewhere.end(),
+                   made.worker)
+            != ejected_elsewhere.end();
+    }
+
     /// The active workers that the evidence condemns, worst first.
     std::vector<assessment> candidates(const ejection_input& input,
         const std::vector<assessment>& all,
@@ -278,14 +362,13 @@
             const auto record = records.find(who.get_id());
             const bool is_active = record == records.end()
                 || record->second.get_state() == worker_state::active;
-            const double bound = std::max(
-                failure_rate_bound, rate_of_others(all, who.get_id()));
+            const double others = rate_of_others(all, who.get_id());
             const bool is_cut_off = std::find(unreachable.begin(),
                                         unreachable.end(), who.get_zone())
                 != unreachable.end();
             if (is_active && is_live(who, input) && !is_cut_off
-                && all[i].lower_bound > bound
-                && is_seen_widely(all[i], input.get_silent_zones()))
+                && (is_condemned(all[i], others, input.get_silent_zones())
+                    || is_confirmed(all[i], input.get_elsewhere())))
             {
                 found.push_back(all[i]);
             }
@@ -362,7 +445,7 @@
     if (!is_shared)
     {
         const auto unreachable
-            = unreachable_zones(input.get_workers(), all, zones);
+            = unreachable_zones(input.get_workers(), all, records, now);
         eject(
             candidates(input, all, unreachable, records), input, records, now);
     }
--- a/src/upstream/ejection_policy.hpp
+++ b/src/upstream/ejection_policy.hpp
@@ -17,10 +17,12 @@
 public:
     /// `sources` are the daemons of the home's zone and the other zones.
     /// `silent_zones` is the number of zones that reported before but do not
-    /// now: what they see is not known.
+    /// now: what they see is not known. `elsewhere` are the workers that homes
+    /// of other zones have ejected.
     static ejection_input make(std::vector<worker> workers,
         std::vector<core::worker_id> draining, double floor_share,
-        std::vector<source_evidence> sources, int silent_zones)
+        std::vector<source_evidence> sources, int silent_zones,
+        std::vector<core::worker_id> elsewhere)
     {
         ejection_input made;
         made.workers = std::move(workers);
@@ -28,6 +30,7 @@
         made.floor_share = floor_share;
         made.sources = std::move(sources);
         made.silent_zones = silent_zones;
+        made.elsewhere = std::move(elsewhere);
         return made;
     }
 
@@ -47,6 +50,11 @@
 
     int get_silent_zones() const { return this->silent_zones; }
 
+    const std::vector<core::worker_id>& get_elsewhere() const
+    {
+        return this->elsewhere;
+    }
+
     auto operator<=>(const ejection_input&) const = default;
 
 private:
@@ -55,6 +63,7 @@
     double floor_share = 0;
     std::vector<source_evidence> sources;
     int silent_zones = 0;
+    std::vector<core::worker_id> elsewhere;
 };
 
 /// The next records of the workers, sorted by id, from the previous ones.
@@ -62,10 +71,13 @@
 /// - A worker is ejected if the lower confidence bound of its failure rate is
 ///   above failure_rate_bound and above the rate of the other workers.
 /// - At least two zones and half of the zones with traffic must see failures,
-///   or the only zone that has ever reported.
+///   or the only zone that has ever reported, and the bound must hold without
+///   the minority of zones that see the worker worst.
+/// - A worker that another home ejected needs failures in two zones only.
 /// - Sources and paths that are at fault themselves are left out.
-/// - If half of the workers show failures at once, or all workers of a zone
-///   as seen from other zones only, the cause is shared: none is ejected.
+/// - If half of the workers show failures at once, or two or more workers of
+///   a zone while none there is known to be good, the cause is shared: none of
+///   them is ejected.
 /// - The worst is ejected first, while the floor holds.
 /// - After its hold, a worker is on trial; see worker_record.
 std::vector<worker_record> decide_ejections(const ejection_input& input,
