--- /dev/null
+++ b/tests/fleet/fake_network.hpp
@@ -0,0 +1,243 @@
+#pragma once
+
+#include "core/runtime_timer.hpp"
+#include "fleet/fleet_node.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace pollenward::fleet::test {
+
+/// What carries messages between fake transports, and what it loses.
+struct fake_wires {
+    using direction = std::pair<core::endpoint, core::endpoint>;
+
+    bool carries(const core::endpoint& from, const core::endpoint& to)
+    {
+        return !this->cuts.contains({ from, to })
+            && this->random() % 100 >= this->loss_percent;
+    }
+
+    /// Directions (from, to) in which messages are lost.
+    std::set<direction> cuts;
+    unsigned loss_percent = 0;
+    std::mt19937_64 random;
+    std::map<core::endpoint, class fake_transport*> transports;
+};
+
+/// A lost request and a lost reply look the same to the sender: no reply.
+class fake_transport {
+public:
+    fake_transport(fake_wires& wires, boost::asio::io_context& context,
+        core::endpoint own)
+        : wires(wires)
+        , context(context)
+        , own(std::move(own))
+    {
+        this->wires.transports.emplace(this->own, this);
+    }
+
+    void serve(message_handler next) { this->handler = std::move(next); }
+
+    boost::asio::awaitable<std::optional<message>> exchange(
+        core::endpoint peer, message content, core::error& reason)
+    {
+        const auto waiting = std::make_shared<pending>(this->context);
+        const auto target = this->wires.transports.find(peer);
+        if (target != this->wires.transports.end()
+            && this->wires.carries(this->own, peer))
+        {
+            boost::asio::co_spawn(target->second->context,
+                target->second->handler(std::move(content)),
+                [this, weak = std::weak_ptr(waiting), peer](
+                    std::exception_ptr, message reply) {
+                    const auto asked = weak.lock();
+                    if (asked && this->wires.carries(peer, this->own))
+                    {
+                        asked->reply = std::move(reply);
+                        asked->timer.cancel();
+                    }
+                });
+        }
+        boost::system::error_code ignored;
+        co_await waiting->timer.async_wait(boost::asio::redirect_error(
+            boost::asio::use_awaitable, ignored));
+        if (!waiting->reply)
+        {
+            reason = core::error::make("exchange", peer.str(), "no reply");
+        }
+        co_return waiting->reply;
+    }
+
+private:
+    struct pending {
+        explicit pending(boost::asio::io_context& context)
+            : timer(context,
+                core::runtime_clock::now() + core::milliseconds(500))
+        {
+        }
+        core::runtime_timer timer;
+        std::optional<message> reply;
+    };
+
+    fake_wires& wires;
+    boost::asio::io_context& context;
+    core::endpoint own;
+    message_handler handler;
+};
+
+/// Observer and service of a fake daemon.
+struct fake_daemon_parts {
+    void on_document(const document& offered)
+    {
+        auto& last = this->accepted[offered.get_name()];
+        this->has_reverted |= offered.get_version() <= last;
+        last = offered.get_version();
+    }
+
+    boost::asio::awaitable<message> handle(message)
+    {
+        co_return receipt::failed("not served");
+    }
+
+    std::map<core::document_name, core::version_number> accepted;
+    bool has_reverted = false;
+};
+
+/// Several fleet nodes in one thread on the paused clock, each with a context
+/// of its own, so that one of them can be paused.
+class fake_network {
+public:
+    using fake_node
+        = fleet_node<fake_transport, fake_daemon_parts, fake_daemon_parts>;
+
+    fake_network(int daemons, std::uint64_t seed)
+    {
+        core::runtime_clock::pause();
+        this->wires.random.seed(seed);
+        for (int i = 0; i < daemons; ++i)
+        {
+            this->daemons.push_back(std::make_unique<daemon>(this->wires, i));
+        }
+    }
+
+    ~fake_network() { core::runtime_clock::resume(); }
+    fake_network(const fake_network&) = delete;
+    fake_network& operator=(const fake_network&) = delete;
+
+    static core::endpoint address_of(int number)
+    {
+        core::error reason;
+        return *core::endpoint::create(
+            "10.0.0." + std::to_string(number + 1) + ":7000", reason);
+    }
+
+    static core::daemon_id id_of(int number)
+    {
+        return core::daemon_id("d" + std::to_string(number));
+    }
+
+    fake_node& node(int number) { return this->at(number).node; }
+    bool has_reverted(int number)
+    {
+        return this->at(number).parts.has_reverted;
+    }
+    void set_paused(int number, bool paused)
+    {
+        this->at(number).is_paused = paused;
+    }
+    bool is_paused(int number) { return this->at(number).is_paused; }
+    int size() const { return static_cast<int>(this->daemons.size()); }
+    fake_wires& get_wires() { return this->wires; }
+
+    /// Runs `task` on a daemon without waiting for it.
+    void spawn(int number, boost::asio::awaitable<void> task)
+    {
+        boost::asio::co_spawn(this->at(number).context, std::move(task),
+            boost::asio::detached);
+    }
+
+    void run(core::duration span)
+    {
+        constexpr core::milliseconds step{ 100 };
+        for (core::duration passed{}; passed < span; passed += step)
+        {
+            this->settle();
+            core::runtime_clock::advance(step);
+            for (const auto& each : this->daemons)
+            {
+                core::wake_timers(each->context.get_executor());
+            }
+        }
+        this->settle();
+    }
+
+    member_state state_seen(int observer, int subject)
+    {
+        const auto seen = this->node(observer).find_member(id_of(subject));
+        return seen ? seen->get_state() : member_state::dead;
+    }
+
+private:
+    struct daemon {
+        daemon(fake_wires& wires, int number)
+            : link(wires, this->context, address_of(number))
+            , node(this->context.get_executor(), this->link, this->parts,
+                  this->parts, self_of(number), seeds_of(number),
+                  static_cast<std::uint64_t>(number))
+        {
+            this->node.start();
+        }
+
+        static member self_of(int number)
+        {
+            return member::make(id_of(number), address_of(number),
+                core::zone_id("z"), core::incarnation_number(1000));
+        }
+
+        /// Each daemon knows one earlier daemon, as from its settings.
+        static std::vector<core::endpoint> seeds_of(int number)
+        {
+            return number == 0
+                ? std::vector<core::endpoint>()
+                : std::vector{ address_of((number - 1) / 2) };
+        }
+
+        fake_daemon_parts parts;
+        boost::asio::io_context context;
+        fake_transport link;
+        fake_node node;
+        bool is_paused = false;
+    };
+
+    daemon& at(int number)
+    {
+        return *this->daemons[static_cast<std::size_t>(number)];
+    }
+
+    void settle()
+    {
+        std::size_t ran = 1;
+        while (ran != 0)
+        {
+            ran = 0;
+            for (const auto& each : this->daemons)
+            {
+                ran += each->is_paused ? 0 : each->context.poll();
+                each->context.restart();
+            }
+        }
+    }
+
+    fake_wires wires;
+    std::vector<std::unique_ptr<daemon>> daemons;
+};
+
+} // namespace pollenward::fleet::test
--- /dev/null
+++ b/tests/fleet/message_codec_test.cpp
@@ -0,0 +1,218 @@
+#include "fleet/message_codec.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <iostream>
+
+using namespace pollenward;
+using namespace pollenward::fleet;
+
+namespace {
+
+using rc::gen::arbitrary;
+using rc::gen::inRange;
+
+std::string text()
+{
+    return *rc::gen::resize(40, arbitrary<std::string>());
+}
+
+std::uint64_t number() { return *arbitrary<std::uint64_t>(); }
+
+std::uint32_t small() { return *arbitrary<std::uint32_t>(); }
+
+double real() { return *arbitrary<double>(); }
+
+core::milliseconds span()
+{
+    return core::milliseconds(*inRange(0, 1'000'000));
+}
+
+core::version_number version() { return core::version_number(number()); }
+
+caller::claim_state state()
+{
+    return static_cast<caller::claim_state>(*inRange(0, 3));
+}
+
+template <class Make>
+auto list(Make make)
+{
+    std::vector<decltype(make())> made;
+    for (int left = *inRange(0, 5); left > 0; --left)
+    {
+        made.push_back(make());
+    }
+    return made;
+}
+
+member any_member()
+{
+    core::error reason;
+    const auto address
+        = core::endpoint::create("10.1.2.3:" + std::to_string(*inRange(1, 9999)),
+            reason);
+    const core::incarnation_number incarnation(number());
+    return member::make(core::daemon_id("d" + text()), *address,
+        core::zone_id(text()), incarnation)
+        .with_sequence(incarnation, number())
+        .with_state(static_cast<member_state>(*inRange(0, 4)))
+        .with_version_in_force(version());
+}
+
+document_digest any_digest()
+{
+    return document_digest::make(
+        core::document_name(text()), version(), number());
+}
+
+claimant any_claimant()
+{
+    return claimant::make(core::daemon_id(text()),
+        core::incarnation_number(number()), small());
+}
+
+evidence_report any_report()
+{
+    return evidence_report::make(static_cast<report_level>(*inRange(0, 2)),
+        text(), core::zone_id(text()), core::service_id(text()), number(),
+        list([] {
+            return evidence_entry::make(core::worker_id(text()),
+                upstream::evidence_counts::make(
+                    real(), real(), real(), real()));
+        }),
+        { real(), real(), real() });
+}
+
+verdict_reply any_verdicts()
+{
+    return verdict_reply::make(list([] {
+        return upstream::verdict::make(core::worker_id(text()),
+            static_cast<upstream::worker_state>(*inRange(0, 3)), real(),
+            span(), *inRange(0, 1000));
+    }),
+        real(), span(), *arbitrary<bool>(),
+        list([] { return core::worker_id(text()); }));
+}
+
+message any_claim_message(int kind)
+{
+    const core::request_id request(text());
+    switch (kind)
+    {
+    case 0:
+        return claim_request::make(
+            request, number(), small(), version(), any_claimant());
+    case 1:
+        return claim_reply::make(
+            static_cast<claim_answer>(*inRange(0, 5)), state(), version());
+    case 2:
+        return claim_settle::make(request, small(), any_claimant(), state());
+    case 3:
+        return claim_copy::make(small(), version(), text());
+    default:
+        return claim_page::make(*arbitrary<bool>(), version(), list([] {
+            return claim_entry::make(
+                core::request_id(text()), number(), state(), span());
+        }),
+            text());
+    }
+}
+
+message any_message()
+{
+    const int kind = *inRange(0, 14);
+    switch (kind)
+    {
+    case 0:
+        return ping::make(
+            any_member(), list(any_member), number(), *arbitrary<bool>());
+    case 1:
+        return ack::make(any_member(), list(any_member), list(any_digest));
+    case 2:
+        return ping_request::make(any_member(), core::daemon_id(text()),
+            any_member().get_address());
+    case 3:
+        return fetch_document::make(core::document_name(text()), version());
+    case 4:
+        return document::make(core::document_name(text()), version(), text());
+    case 5:
+        return any_report();
+    case 6:
+        return any_verdicts();
+    case 7:
+        return guard_notice::make(
+            number(), core::request_id(text()), core::worker_id(text()));
+    case 8:
+        return *arbitrary<bool>() ? receipt::accepted()
+                                  : receipt::failed(text());
+    default:
+        return any_claim_message(kind - 9);
+    }
+}
+
+bool is_refused(const encoded_message& bytes)
+{
+    core::error reason;
+    return !decode_message(bytes, "test", reason)
+        && !reason.get_cause().empty();
+}
+
+} // namespace
+
+// Guards against a field that is lost, swapped or changed on the way.
+TEST_CASE("messages survive encoding and decoding", "[fleet][property]")
+{
+    CHECK(rc::check("decode(encode(x)) == x", [] {
+        const message original = any_message();
+        core::error reason;
+        const auto decoded
+            = decode_message(encode_message(original), "test", reason);
+        RC_ASSERT(decoded.has_value());
+        RC_ASSERT(*decoded == original);
+    }));
+}
+
+// Guards against bytes from outside that crash a daemon or pass as a message
+// that differs from what they encode.
+TEST_CASE("invalid bytes are refused with a reason", "[fleet][property]")
+{
+    CHECK(rc::check("random bytes", [] {
+        const auto bytes = *arbitrary<encoded_message>();
+        RC_ASSERT(is_refused(bytes));
+    }));
+    CHECK(rc::check("a changed or cut message", [] {
+        auto bytes = encode_message(any_message());
+        bytes[*inRange<std::size_t>(0, bytes.size())]
+            = *arbitrary<std::uint8_t>();
+        core::error reason;
+        if (const auto decoded = decode_message(bytes, "test", reason))
+        {
+            const auto again
+                = decode_message(encode_message(*decoded), "test", reason);
+            RC_ASSERT(again && *again == *decoded);
+        }
+        bytes.resize(*inRange<std::size_t>(0, bytes.size()));
+        RC_ASSERT(is_refused(bytes));
+    }));
+}
+
+// Guards against input that overflows the parser's stack, and against
+// versions, types and extra fields that this daemon does not know.
+TEST_CASE("hostile and foreign messages are refused", "[fleet]")
+{
+    CHECK(is_refused(encoded_message(max_message_size, 0x91)));
+    CHECK(is_refused(encoded_message(max_message_size + 1, 0x01)));
+    CHECK(is_refused({ 0x93, 0x01, 0x0d, 0x93, 0xc2, 0xa0, 0x01 }));
+    CHECK(is_refused({ 0x93, 0x02, 0x0d, 0x92, 0xc2, 0xa0 }));
+    CHECK(is_refused({ 0x93, 0x01, 0x7f, 0x92, 0xc2, 0xa0 }));
+    core::error reason;
+    const encoded_message valid{ 0x93, 0x01, 0x0d, 0x92, 0xc2, 0xa0 };
+    CHECK(decode_message(valid, "test", reason)
+        == message(receipt::accepted()));
+    auto changed = encode_message(document::make(
+        core::document_name("n"), core::version_number(1), "body"));
+    changed.back() ^= 1;
+    CHECK(is_refused(changed));
+}
