--- a/src/platform/object_client.cpp
+++ b/src/platform/object_client.cpp
@@ -44,8 +44,8 @@
 
 struct object_client::reply {
     unsigned status = 0;
-    std::string body;
-    std::string cause;
+    std::string body{};
+    std::string cause{};
     /// The server closed a kept connection without a byte of response.
     bool is_stale_connection = false;
 };
--- a/src/platform/watch_result.hpp
+++ b/src/platform/watch_result.hpp
@@ -6,7 +6,6 @@
 
 #include <compare>
 #include <cstdint>
-#include <optional>
 #include <utility>
 #include <vector>
 
@@ -23,36 +22,38 @@
     static watch_result changed(
         store_revision revision, std::vector<stored_object> objects)
     {
-        return watch_result(revision, std::move(objects), std::nullopt);
+        return watch_result(revision, std::move(objects), false, {});
     }
 
     static watch_result failed(core::error cause)
     {
-        return watch_result({}, {}, std::move(cause));
+        return watch_result({}, {}, true, std::move(cause));
     }
 
-    bool is_failed() const { return this->cause.has_value(); }
+    bool is_failed() const { return this->failure; }
     store_revision get_revision() const { return this->revision; }
     const std::vector<stored_object>& get_objects() const
     {
         return this->objects;
     }
-    const std::optional<core::error>& get_cause() const { return this->cause; }
+    const core::error& get_cause() const { return this->cause; }
 
     auto operator<=>(const watch_result&) const = default;
 
 private:
     watch_result(store_revision revision, std::vector<stored_object> objects,
-        std::optional<core::error> cause)
+        bool failure, core::error cause)
         : revision(revision)
         , objects(std::move(objects))
+        , failure(failure)
         , cause(std::move(cause))
     {
     }
 
     store_revision revision;
     std::vector<stored_object> objects;
-    std::optional<core::error> cause;
+    bool failure;
+    core::error cause;
 };
 
 } // namespace pollenward::platform
--- /dev/null
+++ b/tests/operators/patch_json_test.cpp
@@ -0,0 +1,94 @@
+#include "operators/patch_json.hpp"
+
+#include "operators/configuration_json.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace pollenward;
+using namespace pollenward::operators;
+
+namespace {
+
+configuration present()
+{
+    std::vector<core::error> faults;
+    return *decode_configuration(R"({"number": 3, "max_timeout_ms": 1000,
+        "services": [{"id": "s", "floor": 0.5, "slots_per_worker": 6,
+            "connections_per_worker": 400}],
+        "kinds": [{"id": "k", "service": "s", "idempotent": true,
+            "rank": "urgent", "timeout_ms": 100, "max_body_bytes": 10}],
+        "routes": [{"method": "GET", "path_prefix": "/", "kind": "k"}]})",
+        faults);
+}
+
+patch make_patch(const std::string& content)
+{
+    core::error reason;
+    return *decode_patch(
+        core::patch_id("p"), core::version_number(3), content, reason);
+}
+
+std::string faults_of(const std::string& content)
+{
+    std::vector<core::error> faults;
+    CHECK_FALSE(apply_patch(make_patch(content), present(), faults));
+    std::string all;
+    for (const auto& each : faults)
+    {
+        all += each.describe() + "\n";
+    }
+    return all;
+}
+
+} // namespace
+
+TEST_CASE("a patch changes single items by id", "[operators]")
+{
+    std::vector<core::error> faults;
+    const auto change = make_patch(R"({"services": {"s": {"floor": 0.75},
+        "t": {"floor": 1, "slots_per_worker": 2, "connections_per_worker": 9}},
+        "routes": {"GET /": null, "PUT /x": {"kind": "k"}}})");
+    const auto next = apply_patch(change, present(), faults);
+    REQUIRE(next);
+    CHECK(next->get_number() == core::version_number(4));
+    CHECK(next->find_service(core::service_id("s"))->get_floor() == 0.75);
+    CHECK(next->find_service(core::service_id("t")));
+    CHECK(next->get_routes().size() == 1);
+    CHECK(next->get_patches().back()
+        == patch_record::make(
+            core::patch_id("p"), change.get_digest(), core::version_number(4)));
+    const auto differences = compare_configurations(present(), *next);
+    REQUIRE(differences.size() == 4);
+    CHECK(differences[2]
+        == configuration_difference::make("/services/s/floor", "0.5", "0.75"));
+}
+
+// Guards against a patch that is applied in part, or that sets what only the
+// system may set.
+TEST_CASE("a patch with a fault changes nothing and names it", "[operators]")
+{
+    using Catch::Contains;
+    CHECK_THAT(faults_of(R"({"number": 9})"), Contains("/number"));
+    CHECK_THAT(faults_of(R"({"patches": []})"), Contains("/patches"));
+    CHECK_THAT(faults_of(R"({"services": {"s": null}})"),
+        Contains("undeclared service s"));
+    CHECK_THAT(faults_of(R"({"services": {"z": null}})"),
+        Contains("/services/z: is removed but not declared"));
+    CHECK_THAT(faults_of(R"({"kinds": {"k": {"id": "l"}}})"),
+        Contains("/kinds/k: is not the key of its item"));
+    CHECK_THAT(faults_of(R"({"routes": {"GET": {"kind": "k"}}})"),
+        Contains("/routes/GET: is not the key of its item"));
+    CHECK_THAT(faults_of(R"({"services": {"s": 1}})"),
+        Contains("neither an object nor null"));
+    CHECK_THAT(faults_of(R"({"colour": 1})"), Contains("/colour"));
+}
+
+// Guards against a repeated patch that is refused as another because of its
+// spacing.
+TEST_CASE("equal patches have equal digests", "[operators]")
+{
+    CHECK(make_patch(R"({"a": 1, "b": 2})").get_digest()
+        == make_patch(R"({"b":2,"a":1})").get_digest());
+    CHECK(make_patch(R"({"a": 1})").get_digest()
+        != make_patch(R"({"a": 2})").get_digest());
+}
