--- a/src/main/worker_standings.cpp
+++ b/src/main/worker_standings.cpp
@@ -20,25 +20,23 @@
     const core::worker_id& who, upstream::attempt_result result,
     core::duration /*latency*/, core::time_point now)
 {
-    using upstream::attempt_result;
     this->avoidance.record(service, who, result, now);
-    switch (result)
+    if (result == upstream::attempt_result::refused_draining)
     {
-    case attempt_result::answered:
-        this->evidence.record(service, who, false, now);
-        return;
-    case attempt_result::not_sent:
-    case attempt_result::broken_after_send:
-    case attempt_result::timed_out:
-    case attempt_result::silent:
-        this->evidence.record(service, who, true, now);
-        this->failures.store(service, true);
-        return;
-    case attempt_result::refused_draining:
         this->note_drain(who, upstream::drain_source::worker_answer, now);
+    }
+    // The dispatcher has turned answers of status 500 and more into failures.
+    constexpr unsigned no_status = 0;
+    const auto shown = upstream::evidence_of(result, no_status);
+    if (shown == upstream::evidence_kind::none)
+    {
         return;
-    default:
-        return;
+    }
+    const bool is_failure = shown == upstream::evidence_kind::failure;
+    this->evidence.record(service, who, is_failure, now);
+    if (is_failure)
+    {
+        this->failures.store(service, true);
     }
 }
 
--- a/src/upstream/evidence_window.hpp
+++ b/src/upstream/evidence_window.hpp
@@ -26,6 +26,7 @@
         return status >= 500 ? evidence_kind::failure : evidence_kind::success;
     case attempt_result::refused_shed:
     case attempt_result::refused_draining:
+    case attempt_result::refused_expired:
     case attempt_result::cancelled:
         return evidence_kind::none;
     case attempt_result::not_sent:
--- a/src/upstream/local_avoidance.hpp
+++ b/src/upstream/local_avoidance.hpp
@@ -28,6 +28,7 @@
         case attempt_result::answered:
         case attempt_result::refused_shed:
         case attempt_result::refused_draining:
+        case attempt_result::refused_expired:
             return path_state{};
         case attempt_result::broken_after_send:
         case attempt_result::timed_out:
