Drop hop-by-hop fields and interim responses

Cause: a caller's framing fields would have reached the worker, and a 100 response would have been taken for the answer. Change: such fields are left out; a 1xx response spoils the exchange. The terms of a service are shared instead of copied for each request.

--- a/src/upstream/attempt_runner.cpp
+++ b/src/upstream/attempt_runner.cpp
@@ -90,7 +90,7 @@
     const worker& who, const forward_request& request)
 {
     const int allowance
-        = this->state.terms_of(request.get_service()).get_connections();
+        = this->state.terms_of(request.get_service())->get_connections();
     auto lease = this->pool.acquire(who, allowance, core::runtime_clock::now());
     if (!lease)
     {
--- a/src/upstream/dispatch_state.cpp
+++ b/src/upstream/dispatch_state.cpp
@@ -26,7 +26,8 @@
 void dispatch_state::store_terms(
     const core::service_id& service, service_terms next)
 {
-    this->terms.store(service, std::move(next));
+    this->terms.store(
+        service, std::make_shared<const service_terms>(std::move(next)));
 }
 
 void dispatch_state::store_share(
@@ -83,16 +84,18 @@
     return activity ? activity->get_in_flight() : 0;
 }
 
-service_terms dispatch_state::terms_of(const core::service_id& service) const
+dispatch_state::shared_terms dispatch_state::terms_of(
+    const core::service_id& service) const
 {
-    return this->terms.find(service).value_or(service_terms());
+    static const auto unknown = std::make_shared<const service_terms>();
+    return this->terms.find(service).value_or(unknown);
 }
 
 worker_candidates dispatch_state::candidates(const core::service_id& service,
     const std::vector<worker_standing>& standings, core::time_point now) const
 {
-    const service_terms known = this->terms_of(service);
-    const auto& subset = known.get_subset();
+    const shared_terms known = this->terms_of(service);
+    const auto& subset = known->get_subset();
     worker_candidates found;
     for (const worker_standing& each : standings)
     {
@@ -105,7 +108,7 @@
             who.is_leaving(), this->drains.find(who.get_id()), now);
         const auto activity
             = this->activities.find(who.get_id())
-                  .value_or(worker_activity::make(initial_limit(known)));
+                  .value_or(worker_activity::make(initial_limit(*known)));
         found.push_back(worker_candidate::make(
             worker_standing::make(worker_with_leaving(who, leaves),
                 each.get_state(), each.get_weight()),
@@ -127,7 +130,7 @@
         learned += gets_work ? each.get_limit() * standing.get_weight() : 0;
     }
     return service_limit(learned, this->shares.find(service),
-        this->terms_of(service).get_safe_share(), now);
+        this->terms_of(service)->get_safe_share(), now);
 }
 
 bool dispatch_state::is_overloaded(
@@ -179,9 +182,9 @@
 int dispatch_state::start(
     const core::service_id& service, const core::worker_id& who)
 {
-    const service_terms known = this->terms_of(service);
+    const shared_terms known = this->terms_of(service);
     return this->activities.visit(
-        who, [&] { return worker_activity::make(initial_limit(known)); },
+        who, [&] { return worker_activity::make(initial_limit(*known)); },
         [&](worker_activity& mine) {
             mine = mine.with_in_flight(mine.get_in_flight() + 1);
             return mine.get_in_flight();
--- a/src/upstream/dispatch_state.hpp
+++ b/src/upstream/dispatch_state.hpp
@@ -14,6 +14,7 @@
 #include "upstream/worker_choice.hpp"
 
 #include <array>
+#include <memory>
 #include <optional>
 #include <vector>
 
@@ -23,6 +24,9 @@
 /// attempts and requests in flight.
 class dispatch_state {
 public:
+    /// Read for each request, so shared and not copied.
+    using shared_terms = std::shared_ptr<const service_terms>;
+
     void store_terms(const core::service_id& service, service_terms terms);
     void store_share(const core::service_id& service, fleet_share share);
     /// Told by the admission queue; no request is retried meanwhile.
@@ -38,7 +42,8 @@
     core::slot_count limit(const core::service_id& service,
         const std::vector<worker_standing>& standings,
         core::time_point now) const;
-    service_terms terms_of(const core::service_id& service) const;
+    /// The stored terms, or the default ones; never null.
+    shared_terms terms_of(const core::service_id& service) const;
     worker_candidates candidates(const core::service_id& service,
         const std::vector<worker_standing>& standings,
         core::time_point now) const;
@@ -62,7 +67,7 @@
     bool is_overloaded(
         const core::service_id& service, core::time_point now) const;
 
-    core::sharded_map<core::service_id, service_terms> terms;
+    core::sharded_map<core::service_id, shared_terms> terms;
     core::sharded_map<core::service_id, fleet_share> shares;
     core::sharded_map<core::service_id, bool> overloaded;
     core::sharded_map<core::service_id, rank_budgets> budgets;
--- a/src/upstream/exchange_codec.cpp
+++ b/src/upstream/exchange_codec.cpp
@@ -21,12 +21,25 @@
         return (wall + remaining).count();
     }
 
+    /// Fields that concern one connection only. Passing on a caller's framing
+    /// would let the worker see another end of the message than the daemon.
     bool is_connection_field(http::field name)
     {
-        return name == http::field::connection
-            || name == http::field::keep_alive
-            || name == http::field::transfer_encoding
-            || name == http::field::content_length;
+        switch (name)
+        {
+        case http::field::connection:
+        case http::field::keep_alive:
+        case http::field::proxy_connection:
+        case http::field::transfer_encoding:
+        case http::field::content_length:
+        case http::field::te:
+        case http::field::trailer:
+        case http::field::upgrade:
+        case http::field::expect:
+            return true;
+        default:
+            return false;
+        }
     }
 
     response_message to_message(const worker_response& incoming)
@@ -57,7 +70,10 @@
     outgoing.target(message.get_target());
     for (const auto& field : message.get_headers())
     {
-        outgoing.insert(field.get_name(), field.get_value());
+        if (!is_connection_field(http::string_to_field(field.get_name())))
+        {
+            outgoing.insert(field.get_name(), field.get_value());
+        }
     }
     outgoing.set(http::field::host, remote.str());
     outgoing.set("Request-Id", request.get_id().str());
--- a/src/upstream/worker_connection.cpp
+++ b/src/upstream/worker_connection.cpp
@@ -51,11 +51,14 @@
     }
 
     /// A response without a length ends with the connection, and a truncated
-    /// one could not be told from a whole one.
+    /// one could not be told from a whole one. An interim response (1xx) is not
+    /// the answer, and none is asked for.
     template <class Parser>
-    bool has_known_end(Parser& parser)
+    bool is_whole_answer(const Parser& parser)
     {
-        return !parser.need_eof();
+        constexpr unsigned first_final_status = 200;
+        return !parser.need_eof()
+            && parser.get().result_int() >= first_final_status;
     }
 
 } // namespace
@@ -196,7 +199,7 @@
     this->response_ended = true;
     const auto& incoming = parser.get();
     const bool names_request = incoming["Request-Id"] == request.get_id().str();
-    if (!has_known_end(parser) || (this->answered_early && !names_request))
+    if (!is_whole_answer(parser) || (this->answered_early && !names_request))
     {
         co_return this->failed(attempt_result::broken_after_send,
             "the response has no certain end or came before the request");
--- a/tests/upstream/worker_connection_test.cpp
+++ b/tests/upstream/worker_connection_test.cpp
@@ -64,6 +64,9 @@
     const auto endless
         = exchange_with("HTTP/1.1 200 OK\r\n\r\nhalf", is_reusable);
     CHECK(endless.get_result() == attempt_result::broken_after_send);
+    const auto interim
+        = exchange_with("HTTP/1.1 100 Continue\r\n\r\n", is_reusable);
+    CHECK(interim.get_result() == attempt_result::broken_after_send);
 }
 
 // Guards against a second run: a request counts as not run only if no byte of
