Close nng contexts before their socket

Change: close() first waits for the exchanges in flight, then stops the served contexts, then closes the sockets.

--- a/src/fleet/nng_client.cpp
+++ b/src/fleet/nng_client.cpp
@@ -25,7 +25,6 @@
             , done(std::move(done))
             , expiry(std::chrono::steady_clock::now() + timeout)
         {
-            this->flights->enter();
         }
 
         ~nng_exchange()
@@ -146,10 +145,11 @@
     return bytes;
 }
 
-void flight_counter::enter()
+bool flight_counter::enter()
 {
     const std::lock_guard lock(this->mutex);
-    ++this->count;
+    this->count += this->closed ? 0 : 1;
+    return !this->closed;
 }
 
 void flight_counter::leave()
@@ -161,9 +161,10 @@
     }
 }
 
-void flight_counter::wait_until_empty()
+void flight_counter::close()
 {
     std::unique_lock lock(this->mutex);
+    this->closed = true;
     this->is_empty.wait(lock, [this] { return this->count == 0; });
 }
 
@@ -185,11 +186,6 @@
 }
 
 nng_peer::~nng_peer()
-{
-    this->close();
-}
-
-void nng_peer::close()
 {
     if (nng_socket_id(this->socket) > 0)
     {
--- a/src/fleet/nng_client.hpp
+++ b/src/fleet/nng_client.hpp
@@ -26,14 +26,17 @@
 /// Counts exchanges in flight, so that shutdown can wait for their callbacks.
 class flight_counter {
 public:
-    void enter();
+    /// False once the counter is closed: the exchange must not start.
+    bool enter();
     void leave();
-    void wait_until_empty();
+    /// Refuses further exchanges and waits for those in flight.
+    void close();
 
 private:
     std::mutex mutex;
     std::condition_variable is_empty;
     std::size_t count = 0;
+    bool closed = false;
 };
 
 /// A dialled socket to one peer. nng connects in the background, and again
@@ -48,17 +51,18 @@
     nng_socket get_socket() const { return this->socket; }
     void touch(core::time_point now) { this->last_used.store(now); }
     core::time_point get_last_used() const { return this->last_used.load(); }
-    void close();
 
 private:
     nng_socket socket = NNG_SOCKET_INITIALIZER;
     std::atomic<core::time_point> last_used;
 };
 
-/// Called once, on a thread of nng: an nng error number and the reply.
+/// Called once, on a thread of nng or of the caller: an nng error number and
+/// the reply.
 using nng_completion = std::function<void(int, encoded_message)>;
 
 /// Sends a request and waits for the reply without blocking the caller.
+/// `flights` has been entered.
 void start_nng_exchange(std::shared_ptr<nng_peer> peer,
     const encoded_message& request, core::milliseconds timeout,
     std::shared_ptr<flight_counter> flights, nng_completion done);
--- a/src/fleet/nng_server.cpp
+++ b/src/fleet/nng_server.cpp
@@ -56,7 +56,9 @@
         }
     }
 
-    /// The socket is closed already; waits for a callback that still runs.
+    /// Ends the operation in progress and waits for its callback. nng 1.5.2
+    /// aborts the process if a context is closed while its socket closes, so
+    /// this comes before the socket is closed.
     void close()
     {
         {
@@ -64,6 +66,7 @@
             this->closed = true;
         }
         nng_aio_stop(this->aio);
+        nng_ctx_close(this->context);
     }
 
 private:
@@ -178,15 +181,15 @@
         const std::lock_guard lock(this->mutex);
         closing.swap(this->places);
     }
+    for (const auto& each : closing)
+    {
+        each->close();
+    }
     if (nng_socket_id(this->socket) > 0)
     {
         nng_close(this->socket);
         this->socket = NNG_SOCKET_INITIALIZER;
     }
-    for (const auto& each : closing)
-    {
-        each->close();
-    }
 }
 
 } // namespace pollenward::fleet
--- a/src/fleet/nng_transport.cpp
+++ b/src/fleet/nng_transport.cpp
@@ -49,10 +49,11 @@
     }
 
     asio::awaitable<wire_result> exchange_bytes(std::shared_ptr<nng_peer> peer,
-        encoded_message request, std::shared_ptr<flight_counter> flights)
+        encoded_message request, core::milliseconds timeout,
+        std::shared_ptr<flight_counter> flights)
     {
         const auto initiate = [&](auto handler) {
-            start_nng_exchange(peer, request, exchange_timeout, flights,
+            start_nng_exchange(peer, request, timeout, flights,
                 complete_on_executor(std::move(handler)));
         };
         co_return co_await asio::async_initiate<const asio::use_awaitable_t<>,
@@ -61,8 +62,10 @@
 
 } // namespace
 
-nng_transport::nng_transport(const asio::any_io_executor& executor)
-    : traffic(std::make_shared<counters>())
+nng_transport::nng_transport(
+    const asio::any_io_executor& executor, core::milliseconds timeout)
+    : timeout(timeout)
+    , traffic(std::make_shared<counters>())
     , flights(std::make_shared<flight_counter>())
     , server(std::make_unique<nng_server>(executor))
     , idle_thread(
@@ -134,17 +137,22 @@
     const std::string step
         = "exchange " + std::string(message_type_names[content.index()]);
     encoded_message request = encode_message(content);
-    if (this->closed || request.size() > max_message_size)
+    const auto failed = [&](const char* cause) {
+        reason = core::error::make(step, peer.str(), cause);
+        return std::nullopt;
+    };
+    if (request.size() > max_message_size)
     {
-        reason = core::error::make(step, peer.str(),
-            this->closed ? "the transport is closed"
-                         : "the message is too large");
-        co_return std::nullopt;
+        co_return failed("the message is too large");
+    }
+    if (!this->flights->enter())
+    {
+        co_return failed("the transport is closed");
     }
     const auto traffic = this->traffic;
     traffic->sent.add(content.index(), request.size());
     const auto result = co_await exchange_bytes(
-        this->peer_of(peer), std::move(request), this->flights);
+        this->peer_of(peer), std::move(request), this->timeout, this->flights);
     if (result.failure != 0)
     {
         reason
@@ -169,11 +177,6 @@
         this->peers.insert(address, std::make_shared<nng_peer>(address));
         found = this->peers.find(address);
     }
-    if (!found)
-    {
-        // Closed between the two calls; the exchange fails on its socket.
-        found = std::make_shared<nng_peer>(address);
-    }
     (*found)->touch(core::runtime_clock::now());
     return *found;
 }
@@ -205,18 +208,14 @@
 
 void nng_transport::close()
 {
-    this->closed = true;
     if (this->idle_thread.joinable())
     {
         this->idle_thread.request_stop();
         this->idle_thread.join();
     }
+    this->flights->close();
     this->server->close();
-    for (const auto& [address, peer] : this->peers.entries())
-    {
-        peer->close();
-    }
-    this->flights->wait_until_empty();
+    this->peers.erase_if([](const auto&, const auto&) { return true; });
 }
 
 } // namespace pollenward::fleet
--- a/src/fleet/nng_transport.hpp
+++ b/src/fleet/nng_transport.hpp
@@ -36,7 +36,8 @@
 class nng_transport {
 public:
     /// Handlers of incoming messages run on the executor.
-    explicit nng_transport(const boost::asio::any_io_executor& executor);
+    explicit nng_transport(const boost::asio::any_io_executor& executor,
+        core::milliseconds timeout = exchange_timeout);
     ~nng_transport();
     nng_transport(const nng_transport&) = delete;
     nng_transport& operator=(const nng_transport&) = delete;
@@ -50,7 +51,7 @@
     void serve(message_handler handler);
 
     /// Sends a message and returns the reply; nothing, with the reason, if
-    /// none arrived within `exchange_timeout`. The timeout runs on the
+    /// none arrived within the timeout. The timeout runs on the
     /// machine's clock, not on the pausable one. Cancellation has no effect.
     boost::asio::awaitable<std::optional<message>> exchange(
         core::endpoint peer, message content, core::error& reason);
@@ -71,7 +72,8 @@
         return this->traffic->invalid.load();
     }
 
-    /// Fails the exchanges in flight and waits for nng's callbacks.
+    /// Refuses further exchanges, waits for those in flight, at most for the
+    /// timeout, and ends the requests that are served. Blocks.
     void close();
 
 private:
@@ -87,11 +89,11 @@
         std::shared_ptr<counters> traffic, encoded_message request);
     void close_idle_until(const std::stop_token& stop);
 
+    core::milliseconds timeout;
     std::shared_ptr<counters> traffic;
     std::shared_ptr<flight_counter> flights;
     core::sharded_map<core::endpoint, std::shared_ptr<nng_peer>> peers;
     std::unique_ptr<nng_server> server;
-    std::atomic<bool> closed{ false };
     std::mutex idle_mutex;
     std::condition_variable_any idle_wait;
     std::jthread idle_thread;
