--- a/src/operators/metrics_text.cpp
+++ b/src/operators/metrics_text.cpp
@@ -14,10 +14,22 @@
         return text;
     }
 
+    void write_value(const std::string& name, const std::string& labels,
+        const std::string& value, std::string& out)
+    {
+        out += name;
+        out += '{';
+        out += labels;
+        out += "} ";
+        out += value;
+        out += '\n';
+    }
+
     void write_series(
         const std::string& name, const latency_series& series, std::string& out)
     {
         const auto& labels = series.get_labels();
+        const std::string bucket = name + "_bucket";
         std::uint64_t total = 0;
         for (std::size_t i = 0; i < series.get_counts().size(); ++i)
         {
@@ -25,11 +37,14 @@
             const bool is_last = i == series.get_bounds().size();
             const std::string bound
                 = is_last ? "+Inf" : to_text(series.get_bounds()[i]);
-            out += name + "_bucket{" + labels + ",le=\"" + bound + "\"} "
-                + std::to_string(total) + "\n";
+            std::string bucket_labels = labels;
+            bucket_labels += ",le=\"";
+            bucket_labels += bound;
+            bucket_labels += '"';
+            write_value(bucket, bucket_labels, std::to_string(total), out);
         }
-        out += name + "_sum{" + labels + "} " + to_text(series.get_sum()) + "\n"
-            + name + "_count{" + labels + "} " + std::to_string(total) + "\n";
+        write_value(name + "_sum", labels, to_text(series.get_sum()), out);
+        write_value(name + "_count", labels, std::to_string(total), out);
     }
 
     void write_family(const std::string& name, const std::string& help,
--- a/src/operators/patch_json.cpp
+++ b/src/operators/patch_json.cpp
@@ -27,6 +27,13 @@
             : std::string();
     }
 
+    std::string join(std::string path, const std::string& key)
+    {
+        path += '/';
+        path += key;
+        return path;
+    }
+
     std::string key_of(const std::string& array, const json& item)
     {
         return array == "routes"
@@ -69,7 +76,7 @@
         json keyed = to_keyed(array, items);
         for (const auto& [key, change] : changes.items())
         {
-            const std::string path = "/" + array + "/" + key;
+            const std::string path = join("/" + array, key);
             if (change.is_null() && !keyed.contains(key))
             {
                 reasons.push_back(fault(path, "is removed but not declared"));
@@ -87,7 +94,7 @@
             if (key_of(array, item) != key)
             {
                 reasons.push_back(fault(
-                    "/" + array + "/" + key, "is not the key of its item"));
+                    join("/" + array, key), "is not the key of its item"));
             }
             patched.push_back(std::move(item));
         }
@@ -116,7 +123,7 @@
         keys.update(after);
         for (const auto& [key, ignored] : keys.items())
         {
-            compare(path + "/" + key, before.value(key, json()),
+            compare(join(path, key), before.value(key, json()),
                 after.value(key, json()), found);
         }
     }
