Add process tests of failures and of configuration changes

Cause: what must always hold has to be shown on the real programs. Change: a cluster of the real programs on loopback; twelve tests: resent casts, kill -9 of a daemon and of a worker under load, a paused daemon, a start without the platform, graceful shutdown, draining worker, crashing request, patches that race, lose their response or meet a restored store.

--- a/src/main/admin_view.cpp
+++ b/src/main/admin_view.cpp
@@ -26,8 +26,8 @@
 } // namespace
 
 admin_view::admin_view(admin_parts parts)
-    : parts(parts)
-    , patches(parts.store, std::random_device()())
+    : parts(std::move(parts))
+    , patches(this->parts.store, std::random_device()())
 {
 }
 
@@ -109,6 +109,8 @@
         static_cast<double>(this->parts.fleet.count_conflicts()));
     shown.set("fleet_messages_invalid",
         static_cast<double>(this->parts.fleet.get_transport().count_invalid()));
+    shown.set("requests_in_flight",
+        static_cast<double>(this->parts.count_in_flight()));
     shown.set("requests_on_guard",
         static_cast<double>(this->parts.guard.get_guard().size()));
     shown.set("connections_gone_silent",
--- a/src/main/admin_view.hpp
+++ b/src/main/admin_view.hpp
@@ -17,6 +17,8 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <atomic>
+#include <cstddef>
+#include <functional>
 #include <optional>
 
 namespace pollenward::main {
@@ -32,6 +34,8 @@
     guard_link& guard;
     worker_dispatcher& dispatcher;
     operators::metrics& metrics;
+    /// Requests of callers that are not answered yet.
+    std::function<std::size_t()> count_in_flight;
 };
 
 /// What operators see and change; an operators::admin_source.
--- /dev/null
+++ b/tests/process/cluster.cpp
@@ -0,0 +1,294 @@
+#include "process/cluster.hpp"
+
+#include "process/eventually.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+
+namespace pollenward::test {
+
+namespace {
+
+    using nlohmann::json;
+
+    constexpr int ports_per_daemon = 3;
+
+    /// Ports that are free now; all are held until the last one is found.
+    std::vector<std::uint16_t> find_free_ports(int count)
+    {
+        using boost::asio::ip::tcp;
+        boost::asio::io_context context;
+        std::vector<tcp::acceptor> held;
+        std::vector<std::uint16_t> ports;
+        for (int i = 0; i < count; ++i)
+        {
+            held.emplace_back(context,
+                tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+            ports.push_back(held.back().local_endpoint().port());
+        }
+        return ports;
+    }
+
+    std::string make_folder()
+    {
+        const auto pattern
+            = (std::filesystem::temp_directory_path() / "pollenward-XXXXXX")
+                  .string();
+        std::string name = pattern;
+        if (mkdtemp(name.data()) == nullptr)
+        {
+            throw std::runtime_error("cannot create a temporary folder");
+        }
+        return name;
+    }
+
+    std::string local(std::uint16_t port)
+    {
+        return "127.0.0.1:" + std::to_string(port);
+    }
+
+    json configuration()
+    {
+        const auto kind
+            = [](const char* id, bool is_idempotent, const char* rank) {
+                  return json{ { "id", id }, { "service", "ballots" },
+                      { "idempotent", is_idempotent }, { "rank", rank },
+                      { "timeout_ms", 5000 }, { "max_body_bytes", 65536 } };
+              };
+        const auto route
+            = [](const char* method, const char* path, const char* id) {
+                  return json{ { "method", method }, { "path_prefix", path },
+                      { "kind", id } };
+              };
+        return { { "number", 1 }, { "max_timeout_ms", 10000 },
+            { "services",
+                { { { "id", "ballots" }, { "floor", 0.5 },
+                    { "slots_per_worker", 6 },
+                    { "connections_per_worker", 400 } } } },
+            { "kinds",
+                { kind("cast", false, "urgent"),
+                    kind("tally", true, "background") } },
+            { "routes",
+                { route("POST", "/casts", "cast"),
+                    route("GET", "/tallies", "tally") } },
+            { "patches", json::array() } };
+    }
+
+} // namespace
+
+cluster::cluster(const cluster_plan& plan)
+    : plan(plan)
+    , folder(make_folder())
+    , ports(find_free_ports(1 + plan.workers + plan.daemons * ports_per_daemon))
+{
+}
+
+cluster::~cluster()
+{
+    this->daemons.clear();
+    this->workers.clear();
+    this->platforms.clear();
+    std::error_code ignored;
+    std::filesystem::remove_all(this->folder, ignored);
+}
+
+std::string cluster::zone_of(int number) const
+{
+    return number % 2 == 0 ? "r1a" : "r1b";
+}
+
+std::uint16_t cluster::worker_port(int worker) const
+{
+    return this->ports.at(1 + worker);
+}
+
+std::uint16_t cluster::caller_port(int daemon) const
+{
+    return this->ports.at(1 + this->plan.workers + daemon * ports_per_daemon);
+}
+
+std::uint16_t cluster::admin_port(int daemon) const
+{
+    return this->ports.at(2 + this->plan.workers + daemon * ports_per_daemon);
+}
+
+std::uint16_t cluster::fleet_port(int daemon) const
+{
+    return this->ports.at(3 + this->plan.workers + daemon * ports_per_daemon);
+}
+
+std::string cluster::log_file(const std::string& name) const
+{
+    return this->folder + "/" + name + ".log";
+}
+
+std::string cluster::write_objects() const
+{
+    json objects = { { "configuration", configuration() },
+        { "hosts/fleet", json::array() }, { "hosts/ballots", json::array() } };
+    const auto row
+        = [&](const std::string& id, std::uint16_t port, int number) {
+              return json{ { "id", id }, { "endpoint", local(port) },
+                  { "zone", this->zone_of(number) }, { "state", "live" } };
+          };
+    for (int i = 0; i < this->plan.daemons; ++i)
+    {
+        objects["hosts/fleet"].push_back(
+            row("daemon-" + std::to_string(i), this->fleet_port(i), i));
+    }
+    for (int i = 0; i < this->plan.workers; ++i)
+    {
+        objects["hosts/ballots"].push_back(
+            row("worker-" + std::to_string(i), this->worker_port(i), i));
+    }
+    const std::string file = this->folder + "/objects.json";
+    std::ofstream(file) << objects.dump();
+    return file;
+}
+
+std::string cluster::write_settings(int number) const
+{
+    const std::string file
+        = this->folder + "/daemon-" + std::to_string(number) + ".toml";
+    std::ofstream out(file);
+    out << "[daemon]\nid = \"daemon-" << number << "\"\nzone = \""
+        << this->zone_of(number) << "\"\nregion = \"r1\"\nthreads = 2\n"
+        << "drain_delay = \"200ms\"\ndrain_limit = \"20s\"\n[listen]\n"
+        << "callers = \"" << local(this->caller_port(number))
+        << "\"\noperators = \"" << local(this->admin_port(number))
+        << "\"\nfleet = \"" << local(this->fleet_port(number))
+        << "\"\n[platform]\nendpoint = \"" << local(this->platform_port())
+        << "\"\n[fleet]\nseeds = [";
+    for (int i = 0; i < this->plan.daemons; ++i)
+    {
+        out << (i == 0 ? "" : ", ") << '"' << local(this->fleet_port(i)) << '"';
+    }
+    out << "]\n";
+    return file;
+}
+
+void cluster::start_platform()
+{
+    auto started = child_process::start("platform_stand_in",
+        { "--listen", local(this->platform_port()), "--load",
+            this->write_objects() },
+        this->log_file("platform"));
+    this->platforms.emplace(0, std::move(started.value()));
+}
+
+void cluster::start_worker(int number)
+{
+    const std::string name = "worker-" + std::to_string(number);
+    auto started = child_process::start("worker_stand_in",
+        { "--listen", local(this->worker_port(number)), "--name", name,
+            "--behaviour", this->plan.behaviour },
+        this->log_file(name));
+    this->workers.emplace(number, std::move(started.value()));
+}
+
+void cluster::start_daemon(int number)
+{
+    auto started = child_process::start("pollenwardd",
+        { "--settings", this->write_settings(number) },
+        this->log_file("daemon-" + std::to_string(number)));
+    this->daemons.emplace(number, std::move(started.value()));
+}
+
+bool cluster::wait_until_ready(int daemon) const
+{
+    return eventually([&] {
+        const auto reply = http_call(this->admin_port(daemon), "GET", "/ready");
+        return reply && reply->status == 200;
+    });
+}
+
+bool cluster::start()
+{
+    this->start_platform();
+    for (int i = 0; i < this->plan.workers; ++i)
+    {
+        this->start_worker(i);
+    }
+    const bool is_platform_up = eventually([&] {
+        return http_call(
+            this->platform_port(), "GET", "/v1/objects/configuration")
+            .has_value();
+    });
+    for (int i = 0; i < this->plan.daemons; ++i)
+    {
+        this->start_daemon(i);
+    }
+    bool is_ready = is_platform_up;
+    for (int i = 0; i < this->plan.daemons; ++i)
+    {
+        is_ready = this->wait_until_ready(i) && is_ready;
+    }
+    // A first request per daemon, so that workers are known to be listed.
+    for (int i = 0; i < this->plan.daemons; ++i)
+    {
+        is_ready = eventually([&] {
+            const auto reply = this->lookup(i);
+            return reply && reply->status == 200;
+        }) && is_ready;
+    }
+    return is_ready;
+}
+
+std::optional<http_reply> cluster::cast(
+    int daemon, const std::string& id, const std::string& body) const
+{
+    return http_call(this->caller_port(daemon), "POST", "/casts", body,
+        { { "Request-Id", id } });
+}
+
+std::optional<http_reply> cluster::lookup(
+    int daemon, const std::string& path) const
+{
+    return http_call(this->caller_port(daemon), "GET", path);
+}
+
+void cluster::control_platform(const std::string& control) const
+{
+    http_call(this->platform_port(), "POST", "/control", control);
+}
+
+void cluster::control_worker(int number, const std::string& control) const
+{
+    http_call(this->worker_port(number), "POST", "/control", control);
+}
+
+std::uint64_t cluster::version_in_force(int daemon) const
+{
+    const auto reply
+        = http_call(this->admin_port(daemon), "GET", "/configuration");
+    if (!reply || reply->status != 200)
+    {
+        return 0;
+    }
+    const auto body = json::parse(reply->body, nullptr, false);
+    return body.is_object() ? body.value("number", std::uint64_t(0)) : 0;
+}
+
+std::map<std::string, int> cluster::runs() const
+{
+    std::map<std::string, int> all;
+    for (const auto& [number, process] : this->workers)
+    {
+        const auto reply = http_call(this->worker_port(number), "GET", "/runs");
+        const auto body = json::parse(reply ? reply->body : "", nullptr, false);
+        if (body.is_object() && body.contains("runs"))
+        {
+            for (const auto& [id, count] : body["runs"].items())
+            {
+                all[id] += count.get<int>();
+            }
+        }
+    }
+    return all;
+}
+
+} // namespace pollenward::test
--- /dev/null
+++ b/tests/process/failures_test.cpp
@@ -0,0 +1,291 @@
+#include "process/cluster.hpp"
+#include "process/eventually.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace pollenward::test;
+
+namespace {
+
+/// Sends casts under ids of their own, from several threads, and keeps what
+/// the callers were told.
+class cast_load {
+public:
+    explicit cast_load(const cluster& system)
+        : system(system)
+    {
+    }
+
+    /// Sends `count` casts through the given daemons in turn.
+    void run(int count, const std::vector<int>& daemons)
+    {
+        constexpr int thread_count = 4;
+        std::vector<std::jthread> threads;
+        for (int t = 0; t < thread_count; ++t)
+        {
+            threads.emplace_back([this, t, count, daemons] {
+                for (int i = t; i < count; i += thread_count)
+                {
+                    const int daemon
+                        = daemons[static_cast<std::size_t>(i) % daemons.size()];
+                    this->send(daemon, "cast-" + std::to_string(i));
+                }
+            });
+        }
+    }
+
+    void send(int daemon, const std::string& id)
+    {
+        const auto reply = this->system.cast(daemon, id);
+        const std::lock_guard lock(this->mutex);
+        // A broken connection tells the caller nothing.
+        this->told[id].push_back(reply ? reply->outcome() : "unknown");
+    }
+
+    int count(const std::string& outcome) const
+    {
+        int total = 0;
+        for (const auto& [id, outcomes] : this->told)
+        {
+            for (const std::string& each : outcomes)
+            {
+                total += each == outcome ? 1 : 0;
+            }
+        }
+        return total;
+    }
+
+    /// Compares what callers were told with the workers' records of runs.
+    /// `has_lost_records` tells that a worker was killed with its record.
+    void check(const std::map<std::string, int>& runs,
+        bool has_lost_records = false) const
+    {
+        for (const auto& [id, outcomes] : this->told)
+        {
+            const auto found = runs.find(id);
+            const int ran = found == runs.end() ? 0 : found->second;
+            INFO(id << " ran " << ran << " times, first outcome "
+                    << outcomes.front());
+            CHECK(ran <= 1);
+            int answered = 0;
+            int not_run = 0;
+            for (const std::string& outcome : outcomes)
+            {
+                answered += outcome == "answered" ? 1 : 0;
+                not_run += outcome == "not-run" ? 1 : 0;
+            }
+            CHECK(answered <= 1);
+            if (answered == 1 && !has_lost_records)
+            {
+                CHECK(ran == 1);
+            }
+            if (not_run == static_cast<int>(outcomes.size()))
+            {
+                CHECK(ran == 0);
+            }
+        }
+    }
+
+private:
+    const cluster& system;
+    std::mutex mutex;
+    std::map<std::string, std::vector<std::string>> told;
+};
+
+} // namespace
+
+// Guards against a non-idempotent request that runs twice because its caller
+// sends it again through another daemon.
+TEST_CASE("a cast that is sent again through another daemon runs once")
+{
+    cluster system({ 2, 2, R"({"service_ms": 20})" });
+    REQUIRE(system.start());
+    const auto first = system.cast(0, "one");
+    REQUIRE(first);
+    CHECK(first->outcome() == "answered");
+    const auto again = system.cast(1, "one");
+    REQUIRE(again);
+    CHECK(again->status == 409);
+    CHECK(again->outcome() == "unknown");
+    CHECK(system.runs()["one"] == 1);
+}
+
+// Guards against callers told something untrue when a daemon dies under load.
+TEST_CASE("kill -9 of a daemon under load leaves no cast run twice")
+{
+    cluster system({ 3, 2, R"({"service_ms": 10})" });
+    REQUIRE(system.start());
+    cast_load load(system);
+    {
+        std::jthread killer([&] {
+            eventually([&] { return system.runs().size() >= 40; });
+            system.kill_daemon(1);
+        });
+        load.run(200, { 0, 1, 2 });
+    }
+    // Callers whose connection broke send again through another daemon.
+    for (int i = 1; i < 200; i += 3)
+    {
+        load.send(0, "cast-" + std::to_string(i));
+    }
+    load.check(system.runs());
+    CHECK(load.count("answered") >= 100);
+}
+
+// Guards against a retry of a cast whose worker died while it ran.
+TEST_CASE("kill -9 of a worker under load leaves no cast run twice")
+{
+    cluster system({ 2, 3, R"({"service_ms": 10})" });
+    REQUIRE(system.start());
+    cast_load load(system);
+    {
+        std::jthread killer([&] {
+            eventually([&] { return system.runs().size() >= 40; });
+            system.kill_worker(0);
+        });
+        load.run(200, { 0, 1 });
+    }
+    load.check(system.runs(), true);
+    CHECK(load.count("answered") >= 150);
+    CHECK(eventually([&] {
+        const auto reply = system.lookup(0);
+        return reply && reply->status == 200;
+    }));
+}
+
+// Guards against a daemon that uses an old grant after a pause, and against a
+// fleet that does not take a paused daemon back.
+TEST_CASE("a daemon paused for longer than its heartbeat runs nothing twice")
+{
+    cluster system({ 3, 2, R"({"service_ms": 100})" });
+    REQUIRE(system.start());
+    cast_load load(system);
+    std::vector<std::jthread> senders;
+    for (int i = 0; i < 8; ++i)
+    {
+        senders.emplace_back(
+            [&, i] { load.send(0, "paused-" + std::to_string(i)); });
+    }
+    system.daemon(0).send_signal(SIGSTOP);
+    for (int i = 0; i < 8; ++i)
+    {
+        load.send(1, "paused-" + std::to_string(i));
+    }
+    // The others must have declared it dead before it goes on.
+    CHECK(eventually([&] {
+        const auto reply = http_call(system.admin_port(1), "GET", "/metrics");
+        return reply && reply->body.find("members_live 2") != std::string::npos;
+    }));
+    system.daemon(0).send_signal(SIGCONT);
+    senders.clear();
+    load.check(system.runs());
+    CHECK(eventually([&] {
+        const auto reply = http_call(system.admin_port(1), "GET", "/metrics");
+        return reply && reply->body.find("members_live 3") != std::string::npos;
+    }));
+}
+
+// Guards against a daemon that cannot start without the platform.
+TEST_CASE("a daemon started while the platform is away serves from its peers")
+{
+    cluster system({ 3, 2, "{}" });
+    REQUIRE(system.start());
+    system.kill_platform();
+    system.kill_daemon(2);
+    system.start_daemon(2);
+    REQUIRE(system.wait_until_ready(2));
+    CHECK(eventually([&] {
+        const auto reply = system.lookup(2);
+        return reply && reply->status == 200;
+    }));
+    CHECK(system.version_in_force(2) == 1);
+}
+
+// Guards against a shutdown that cuts a request in flight.
+TEST_CASE("a graceful shutdown answers the requests in flight")
+{
+    cluster system({ 2, 2, R"({"service_ms": 1500})" });
+    REQUIRE(system.start());
+    cast_load load(system);
+    std::vector<std::jthread> senders;
+    for (int i = 0; i < 6; ++i)
+    {
+        senders.emplace_back(
+            [&, i] { load.send(0, "flight-" + std::to_string(i)); });
+    }
+    CHECK(eventually([&] {
+        const auto reply = http_call(system.admin_port(0), "GET", "/metrics");
+        return reply
+            && reply->body.find("requests_in_flight 6") != std::string::npos;
+    }));
+    system.daemon(0).send_signal(SIGTERM);
+    CHECK(eventually([&] {
+        const auto reply = http_call(system.admin_port(0), "GET", "/ready");
+        return reply && reply->status == 503;
+    }));
+    senders.clear();
+    CHECK(load.count("answered") == 6);
+    CHECK(system.daemon(0).wait() == 0);
+    system.kill_daemon(0);
+    load.check(system.runs());
+}
+
+// Guards against work that a leaving worker still gets.
+TEST_CASE("a draining worker gets no new work after a few seconds")
+{
+    cluster system({ 2, 2, "{}" });
+    REQUIRE(system.start());
+    system.control_worker(0, R"({"draining": true})");
+    const auto refused = [&] {
+        const auto reply = http_call(system.worker_port(0), "GET", "/runs");
+        return reply ? reply->body : "";
+    };
+    // Both daemons learn of it, one by itself and the other from its peer at
+    // the latest; then the worker's record no longer changes.
+    for (int i = 0; i < 40; ++i)
+    {
+        const auto reply = system.lookup(i % 2);
+        REQUIRE(reply);
+        CHECK(reply->status == 200);
+    }
+    const std::string before = refused();
+    for (int i = 0; i < 40; ++i)
+    {
+        const auto reply = system.lookup(i % 2);
+        REQUIRE(reply);
+        CHECK(reply->status == 200);
+    }
+    CHECK(refused() == before);
+}
+
+// Guards against a request that takes down one worker after the other.
+TEST_CASE("a request that crashes workers is stopped after two of them")
+{
+    cluster system({ 2, 4, R"({"crash_text": "poison"})" });
+    REQUIRE(system.start());
+    for (int i = 0; i < 8; ++i)
+    {
+        system.cast(i % 2, "bad-" + std::to_string(i), "poison");
+    }
+    int alive = 0;
+    for (int i = 0; i < 4; ++i)
+    {
+        const auto reply = http_call(system.worker_port(i), "GET", "/health");
+        alive += reply ? 1 : 0;
+    }
+    CHECK(alive >= 2);
+    const auto blocked = system.cast(0, "bad-again", "poison");
+    REQUIRE(blocked);
+    CHECK(blocked->status == 422);
+    CHECK(eventually([&] {
+        const auto reply = system.cast(1, "good", "ballot");
+        return reply && reply->status == 200;
+    }));
+}
