--- a/src/caller/admission_gate.hpp
+++ b/src/caller/admission_gate.hpp
@@ -100,8 +100,9 @@
 private:
     /// A sleeping coroutine. Its timer is used on its own executor only.
     struct waiter {
-        waiter(boost::asio::any_io_executor executor, core::time_point until)
-            : timer(std::move(executor), until)
+        waiter(const boost::asio::any_io_executor& executor,
+            core::time_point until)
+            : timer(executor, until)
         {
         }
 
@@ -196,7 +197,7 @@
             }
             state.waiters.emplace(sleeper->ticket.get_number(), sleeper);
             state.advance(present);
-            const auto decided = sleeper->decision;
+            auto decided = sleeper->decision;
             if (decided)
             {
                 state.waiters.erase(sleeper->ticket.get_number());
--- a/src/caller/caller_link.hpp
+++ b/src/caller/caller_link.hpp
@@ -10,7 +10,7 @@
 
 /// Bytes of further requests that are read while one is running. A caller
 /// that sends more is not read until its request has been answered.
-inline constexpr std::size_t max_pipelined_bytes = 64 * 1024;
+inline constexpr std::size_t max_pipelined_bytes = 65536;
 
 /// One connection of a caller. Used on the socket's strand only.
 class caller_link {
--- a/tests/caller/admission_gate_test.cpp
+++ b/tests/caller/admission_gate_test.cpp
@@ -70,6 +70,7 @@
     }
     {
         std::vector<std::jthread> threads;
+        threads.reserve(3);
         for (int i = 0; i < 3; ++i)
         {
             threads.emplace_back([&] { context.run(); });
--- a/tests/caller/admission_queue_test.cpp
+++ b/tests/caller/admission_queue_test.cpp
@@ -37,8 +37,9 @@
 /// Requests of fixed service time against a queue, in steps of simulated time.
 class flood {
 public:
-    explicit flood(double concurrency)
+    explicit flood(double concurrency, queue_bounds bounds = queue_bounds())
         : limits(limit_of(concurrency))
+        , queue(bounds)
     {
     }
 
@@ -262,7 +263,7 @@
 TEST_CASE("a flood from one account leaves the others their turn", "[caller]")
 {
     const double concurrency = GENERATE(1.0, slots);
-    flood test(concurrency);
+    flood test(concurrency, queue_bounds::make(4, 16));
     test.add_load(rank::standard, 10 * capacity, "flooding");
     test.run(seconds(3));
     test.add_load(rank::standard, 10, "modest");
--- a/tests/caller/http_server_test.cpp
+++ b/tests/caller/http_server_test.cpp
@@ -147,7 +147,7 @@
     {
         const auto count = asio::read_until(
             this->socket, asio::dynamic_buffer(this->buffer), end);
-        const std::string text = this->buffer.substr(0, count);
+        std::string text = this->buffer.substr(0, count);
         this->buffer.erase(0, count);
         return text;
     }
--- a/tests/caller/request_flow_test.cpp
+++ b/tests/caller/request_flow_test.cpp
@@ -11,12 +11,13 @@
 using namespace pollenward;
 using namespace pollenward::caller;
 using boost::asio::awaitable;
-using trompeloeil::_;
 using upstream::dispatch_result;
 using upstream::run_certainty;
 
 namespace {
 
+using trompeloeil::_;
+
 template <class Value>
 awaitable<Value> ready(Value value)
 {
