Test the zone trimming and the faulty sources by themselves

Cause: with widest_view() or without_faulty_sources() taken out, all tests passed: other rules covered the same cases. Change: a case in which one failure elsewhere must not complete a path fault, and a single-zone case in which only the rule for faulty sources helps; it replaces the case that the zone path rule also covered and is as strict.

--- a/src/fleet/home.hpp
+++ b/src/fleet/home.hpp
@@ -62,6 +62,7 @@
         by_zone[each.get_zone()].push_back(each.get_daemon());
     }
     std::vector<zone_daemon> found;
+    found.reserve(by_zone.size());
     for (const auto& [zone, daemons] : by_zone)
     {
         found.push_back(zone_daemon::make(
--- a/src/fleet/service_home.cpp
+++ b/src/fleet/service_home.cpp
@@ -154,6 +154,7 @@
     core::time_point now) const
 {
     std::vector<upstream::verdict> made;
+    made.reserve(this->records.size());
     for (const upstream::worker_record& each : this->records)
     {
         made.push_back(each.to_verdict(now));
@@ -235,6 +236,7 @@
     }
     const auto demands = this->merge.daemon_demand(now);
     std::vector<share_claim> claims;
+    claims.reserve(demands.size());
     for (const source_demand& each : demands)
     {
         claims.push_back(share_claim::make(each.get_demand(), 1));
--- a/src/upstream/path_fault.cpp
+++ b/src/upstream/path_fault.cpp
@@ -102,6 +102,7 @@
         sum.first->second = sum.first->second + each;
     }
     std::vector<source_evidence> zones;
+    zones.reserve(sums.size());
     for (auto& [zone, sum] : sums)
     {
         zones.push_back(std::move(sum));
--- a/tests/upstream/ejection_policy_test.cpp
+++ b/tests/upstream/ejection_policy_test.cpp
@@ -96,15 +96,38 @@
     CHECK(decide(evidence(failing)).empty());
 }
 
+// Guards against one failure elsewhere that completes the case against a worker
+// that half of the zones cannot reach. Fails without widest_view().
+TEST_CASE("one more failure does not confirm a path fault", "[ejection]")
+{
+    auto sources = evidence([](int zone, int worker) {
+        return zone < zone_count / 2 && worker == 3;
+    }).get_sources();
+    auto counts = sources[2].get_counts();
+    counts[worker_name(3)] = evidence_counts::make(4, 1, 8, 1);
+    sources[2] = source_evidence::make(
+        sources[2].get_source(), sources[2].get_zone(), counts);
+    CHECK(decide(ejection_input::make(all_workers(), {}, 0.5, sources, 0, {}))
+              .empty());
+}
+
 // Guards against a source without network that condemns all workers. Fails
 // without without_faulty_sources().
 TEST_CASE("a source that fails with most workers is left out", "[ejection]")
 {
-    const auto failing = [](int zone, int worker) {
-        return worker == 3 || (zone != 0 && worker % 2 == 0);
-    };
-    // Zones 1 to 3 fail with five of eight workers.
-    CHECK(decide(evidence(failing)) == ids{ "w3" });
+    std::vector<source_evidence> daemons;
+    for (int daemon = 0; daemon < 3; ++daemon)
+    {
+        // Daemon 0 fails with all workers, the others with one.
+        const auto counts = evidence(
+            [daemon](int, int worker) { return daemon == 0 || worker == 3; })
+                                .get_sources()[0]
+                                .get_counts();
+        daemons.push_back(source_evidence::make(
+            std::to_string(daemon), core::zone_id(zone_name(0)), counts));
+    }
+    CHECK(decide(ejection_input::make(all_workers(), {}, 0.5, daemons, 0, {}))
+        == ids{ "w3" });
 }
 
 // Guards against ejections while a whole zone is cut off from most others.
