Release the nng context before an exchange completes

Change: an exchange closes its context and drops its peer before it reports. Adds a test that prints the size of messages.

--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -373,6 +373,7 @@
 member_updates membership::take_updates(const core::daemon_id& receiver)
 {
     std::vector<std::pair<std::size_t, core::daemon_id>> order;
+    order.reserve(this->announcements.size());
     for (const auto& [id, left] : this->announcements)
     {
         order.emplace_back(left, id);
--- a/src/fleet/message_codec.hpp
+++ b/src/fleet/message_codec.hpp
@@ -15,8 +15,8 @@
 /// Raised when a message changes in a way that older daemons cannot read.
 inline constexpr std::uint64_t protocol_version = 1;
 
-inline constexpr std::size_t max_message_size = 2 * 1024 * 1024;
-inline constexpr std::size_t max_document_size = 1024 * 1024;
+inline constexpr std::size_t max_message_size = 2'097'152;
+inline constexpr std::size_t max_document_size = 1'048'576;
 
 using encoded_message = std::vector<std::uint8_t>;
 
--- a/src/fleet/nng_client.cpp
+++ b/src/fleet/nng_client.cpp
@@ -29,10 +29,6 @@
 
         ~nng_exchange()
         {
-            if (nng_ctx_id(this->context) > 0)
-            {
-                nng_ctx_close(this->context);
-            }
             if (this->aio != nullptr)
             {
                 // nng_aio_free would wait for the callback that runs this.
@@ -103,8 +99,16 @@
                     std::max<std::int64_t>(left.count(), 1)));
         }
 
+        /// Lets go of context and peer first: once the caller knows the result
+        /// it may close the peer, and nng 1.5.2 blocks or aborts if a context
+        /// closes at the same time as its socket.
         void finish(int failure, encoded_message reply)
         {
+            if (nng_ctx_id(this->context) > 0)
+            {
+                nng_ctx_close(this->context);
+            }
+            this->peer.reset();
             const auto counter = this->flights;
             this->done(failure, std::move(reply));
             delete this;
--- /dev/null
+++ b/tests/fleet/message_size_test.cpp
@@ -0,0 +1,62 @@
+#include "fleet/message_codec.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <iostream>
+
+using namespace pollenward;
+using namespace pollenward::fleet;
+
+namespace {
+
+member typical_member(int number)
+{
+    core::error reason;
+    const core::incarnation_number started(1'790'000'000'000);
+    return member::make(core::daemon_id("entry-" + std::to_string(number)),
+        *core::endpoint::create("10.20.30.40:7401", reason),
+        core::zone_id("north-1"), started)
+        .with_sequence(started, 12)
+        .with_version_in_force(core::version_number(40'000));
+}
+
+std::size_t size_of(const message& content)
+{
+    const std::size_t size = encode_message(content).size();
+    std::cout << message_type_names[content.index()] << " " << size << "\n";
+    return size;
+}
+
+} // namespace
+
+// Guards against pings that outgrow the 10 KB/s of control traffic a daemon
+// may use: four of them a second, in and out, with all updates on board.
+TEST_CASE("the largest ping fits the traffic target", "[fleet]")
+{
+    const member_updates updates(10, typical_member(101));
+    CHECK(size_of(ping::make(typical_member(1), updates, 1ULL << 60, false)) * 4
+        < 10'000);
+    size_of(ping::make(typical_member(1), {}, 1ULL << 60, false));
+    size_of(ack::make(typical_member(1), {}, {}));
+    const core::request_id request(std::string(36, 'r'));
+    const auto by = claimant::make(core::daemon_id("entry-101"),
+        core::incarnation_number(1'790'000'000'000), 1);
+    size_of(claim_request::make(
+        request, 1ULL << 60, 200, core::version_number(900), by));
+    size_of(claim_reply::make(claim_answer::granted,
+        caller::claim_state::running, core::version_number(900)));
+    size_of(
+        claim_settle::make(request, 200, by, caller::claim_state::finished));
+    size_of(
+        guard_notice::make(1ULL << 60, request, core::worker_id("ballots-12")));
+    size_of(fetch_document::make(
+        core::document_name("configuration"), core::version_number(40'000)));
+    size_of(ping_request::make(typical_member(1), core::daemon_id("entry-2"),
+        typical_member(2).get_address()));
+    const std::vector<evidence_entry> entries(15,
+        evidence_entry::make(core::worker_id("ballots-12"),
+            upstream::evidence_counts::make(1.23, 0.17, 17.9, 2.3)));
+    size_of(evidence_report::make(report_level::daemon, "entry-101",
+        core::zone_id("north-1"), core::service_id("ballots"), 90'000, entries,
+        { 1.1, 2.2, 3.3 }));
+}
