Split long functions of the client and the configuration

Change: connecting, building a request and checking references are functions of their own. A test covers a lost write that a restore has undone. Conclusion: no change of behaviour.

--- a/src/operators/configuration.cpp
+++ b/src/operators/configuration.cpp
@@ -70,6 +70,31 @@
         }
     }
 
+    void report_dangling_references(
+        const std::vector<service_settings>& services,
+        const std::vector<kind_settings>& kinds,
+        const std::vector<route>& routes, std::vector<core::error>& reasons)
+    {
+        for (const kind_settings& kind : kinds)
+        {
+            if (!find_by_id(services, kind.get_service()))
+            {
+                reasons.push_back(fault("kind " + kind.get_id().str(),
+                    "names the undeclared service "
+                        + kind.get_service().str()));
+            }
+        }
+        for (const route& each : routes)
+        {
+            if (!find_by_id(kinds, each.get_kind()))
+            {
+                reasons.push_back(fault(
+                    "route " + each.get_method() + " " + each.get_path_prefix(),
+                    "names the undeclared kind " + each.get_kind().str()));
+            }
+        }
+    }
+
 } // namespace
 
 std::optional<configuration> configuration::create(core::version_number number,
@@ -83,23 +108,7 @@
     report_duplicates("service", services, reasons);
     report_duplicates("kind", kinds, reasons);
     report_duplicate_routes(routes, reasons);
-    for (const kind_settings& kind : kinds)
-    {
-        if (!find_by_id(services, kind.get_service()))
-        {
-            reasons.push_back(fault("kind " + kind.get_id().str(),
-                "names the undeclared service " + kind.get_service().str()));
-        }
-    }
-    for (const route& each : routes)
-    {
-        if (!find_by_id(kinds, each.get_kind()))
-        {
-            reasons.push_back(fault(
-                "route " + each.get_method() + " " + each.get_path_prefix(),
-                "names the undeclared kind " + each.get_kind().str()));
-        }
-    }
+    report_dangling_references(services, kinds, routes, reasons);
     if (max_timeout <= core::milliseconds::zero())
     {
         reasons.push_back(fault("max_timeout_ms", "is not positive"));
--- a/src/platform/object_client.cpp
+++ b/src/platform/object_client.cpp
@@ -8,7 +8,6 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
-#include <numeric>
 #include <utility>
 
 namespace pollenward::platform {
@@ -29,6 +28,21 @@
     // Values are up to 1 MB; a watch may return many of them at once.
     constexpr std::uint64_t body_limit = 256UL * 1024 * 1024;
 
+    http::request<http::string_body> make_request(const core::endpoint& service,
+        const std::string& method, const std::string& target,
+        const std::string& if_match, std::string body)
+    {
+        http::request<http::string_body> request(
+            http::string_to_verb(method), target, 11, std::move(body));
+        request.set(http::field::host, service.str());
+        if (!if_match.empty())
+        {
+            request.set(http::field::if_match, if_match);
+        }
+        request.prepare_payload();
+        return request;
+    }
+
 } // namespace
 
 struct object_client::connection {
@@ -89,49 +103,56 @@
         });
 }
 
+asio::awaitable<std::unique_ptr<object_client::connection>>
+object_client::connect(std::string& cause) const
+{
+    auto fresh
+        = std::make_unique<connection>(co_await asio::this_coro::executor);
+    const tcp::endpoint remote(
+        asio::ip::make_address(this->service.get_address()),
+        this->service.get_port());
+    const auto [failure] = co_await fresh->socket.async_connect(remote, token);
+    if (failure)
+    {
+        cause = failure.message();
+        co_return nullptr;
+    }
+    fresh->socket.set_option(tcp::no_delay(true));
+    co_return fresh;
+}
+
 asio::awaitable<object_client::reply> object_client::exchange(call_kind kind,
     std::unique_ptr<connection> used, std::string method, std::string target,
     std::string if_match, std::string body)
 {
     const bool is_reused = used != nullptr;
+    reply done;
     if (!is_reused)
     {
-        used = std::make_unique<connection>(co_await asio::this_coro::executor);
-        const tcp::endpoint remote(
-            asio::ip::make_address(this->service.get_address()),
-            this->service.get_port());
-        const auto [failure]
-            = co_await used->socket.async_connect(remote, token);
-        if (failure)
+        used = co_await this->connect(done.cause);
+        if (!used)
         {
-            co_return reply{ .cause = failure.message() };
+            co_return done;
         }
-        used->socket.set_option(tcp::no_delay(true));
-    }
-    http::request<http::string_body> request(
-        http::string_to_verb(method), target, 11, std::move(body));
-    request.set(http::field::host, this->service.str());
-    if (!if_match.empty())
-    {
-        request.set(http::field::if_match, if_match);
     }
-    request.prepare_payload();
+    const auto request = make_request(
+        this->service, method, target, if_match, std::move(body));
     const auto [write_failure, written]
         = co_await http::async_write(used->socket, request, token);
     http::response_parser<http::string_body> incoming;
     incoming.body_limit(body_limit);
-    auto [failure, count] = co_await http::async_read(
+    const auto [read_failure, count] = co_await http::async_read(
         used->socket, used->buffer, incoming, token);
-    if (write_failure || failure)
+    if (write_failure || read_failure)
     {
-        const auto first = write_failure ? write_failure : failure;
-        co_return reply{ .cause = first.message(),
-            .is_stale_connection = is_reused && count == 0 };
+        const auto& first = write_failure ? write_failure : read_failure;
+        done.cause = first.message();
+        done.is_stale_connection = is_reused && count == 0;
+        co_return done;
     }
-    const bool is_kept = incoming.get().keep_alive();
-    reply done{ .status = incoming.get().result_int(),
-        .body = std::move(incoming.get().body()) };
-    if (is_kept)
+    done.status = incoming.get().result_int();
+    done.body = std::move(incoming.get().body());
+    if (incoming.get().keep_alive())
     {
         this->keep_idle(kind, std::move(used));
     }
--- a/src/platform/object_client.hpp
+++ b/src/platform/object_client.hpp
@@ -55,6 +55,9 @@
     boost::asio::awaitable<reply> call(call_kind kind, std::string method,
         std::string target, std::string if_match, std::string body,
         core::duration limit);
+    /// Nothing, with the cause, if the service could not be reached.
+    boost::asio::awaitable<std::unique_ptr<connection>> connect(
+        std::string& cause) const;
     boost::asio::awaitable<reply> exchange(call_kind kind,
         std::unique_ptr<connection> used, std::string method,
         std::string target, std::string if_match, std::string body);
--- a/tests/operators/patch_service_test.cpp
+++ b/tests/operators/patch_service_test.cpp
@@ -112,6 +112,22 @@
     CHECK(reply.get_number() == core::version_number(2));
 }
 
+// Guards against "not applied" for a write that may be in the history that a
+// restore has undone, and that the fleet may have in force.
+TEST_CASE("a lost write is unknown after a restore", "[operators]")
+{
+    fake_store store;
+    store.value = first_configuration;
+    REQUIRE(apply(store, make_patch(1, 1, 500)).is_applied());
+    store.lost_requests = 1;
+    store.before_put = [&store] {
+        store.value = first_configuration;
+        store.version = core::version_number(1);
+    };
+    CHECK(apply(store, make_patch(2, 2, 600)).get_outcome()
+        == patch_outcome::unknown);
+}
+
 // Guards against a number that is given to two configurations after the store
 // was restored from an older state.
 TEST_CASE("no patch is accepted while the store is behind", "[operators]")
