--- a/src/operators/admin_server.hpp
+++ b/src/operators/admin_server.hpp
@@ -11,6 +11,7 @@
 #include <boost/asio/strand.hpp>
 
 #include <cstdint>
+#include <exception>
 #include <string>
 #include <utility>
 
@@ -106,12 +107,29 @@
             }
             const bool is_kept = request->keep_alive();
             const unsigned version = request->version();
-            auto response = co_await this->answer(std::move(*request));
+            auto response = co_await this->answer_safely(std::move(*request));
             is_open = co_await write_response(
                 socket, std::move(response), version, is_kept);
         }
     }
 
+    /// Turns an exception into a response; the connection would just break.
+    boost::asio::awaitable<admin_response> answer_safely(admin_request request)
+    {
+        std::string cause;
+        try
+        {
+            co_return co_await this->answer(std::move(request));
+        }
+        catch (const std::exception& failure)
+        {
+            cause = failure.what();
+        }
+        constexpr unsigned internal_error = 500;
+        co_return respond_error(internal_error,
+            core::error::make("answer operator", "self", cause));
+    }
+
     boost::asio::awaitable<admin_response> apply(const admin_request& request)
     {
         core::error reason;
--- a/tests/fleet/message_size_test.cpp
+++ b/tests/fleet/message_size_test.cpp
@@ -39,14 +39,14 @@
     size_of(ping::make(typical_member(1), {}, 1ULL << 60, false));
     size_of(ack::make(typical_member(1), {}, {}));
     const core::request_id request(std::string(36, 'r'));
-    const auto by = claimant::make(core::daemon_id("entry-101"),
+    const auto by = caller::claimant::make(core::daemon_id("entry-101"),
         core::incarnation_number(1'790'000'000'000), 1);
-    size_of(claim_request::make(
-        request, 1ULL << 60, 200, core::version_number(900), by));
-    size_of(claim_reply::make(claim_answer::granted,
-        caller::claim_state::running, core::version_number(900)));
-    size_of(
-        claim_settle::make(request, 200, by, caller::claim_state::finished));
+    size_of(claim_request::make(caller::claim_question::make(
+        request, 1ULL << 60, by, core::version_number(900))));
+    size_of(claim_reply::make(
+        caller::claim_answer::make(caller::claim_verdict::granted,
+            caller::claim_state::running, core::version_number(900))));
+    size_of(claim_settle::make(request, by, caller::claim_state::finished));
     size_of(
         guard_notice::make(1ULL << 60, request, core::worker_id("ballots-12")));
     size_of(fetch_document::make(
