Wire the probes and write a lost configuration back on demand

Cause: probes and the closing of idle connections were not started; a store that lost the configuration in a restore refused every patch. Change: probe loop over the workers of this daemon's subsets; a patch that finds the store unavailable writes the held configuration back. The drain test first earns a retry budget: with none, a refusal of the draining worker is passed on as not-run, which the bound on attempts (1.1 times the requests) asks for.

--- a/src/main/admin_view.cpp
+++ b/src/main/admin_view.cpp
@@ -82,6 +82,13 @@
     {
         co_await this->parts.intake.refresh(configuration_document);
     }
+    const auto held = this->parts.configuration.get();
+    if (reply.get_outcome() == operators::patch_outcome::unavailable && held)
+    {
+        // The store may have lost the configuration in a restore; the watchers
+        // do not notice an object that is gone.
+        co_await this->patches.write_back(*held);
+    }
     co_return reply;
 }
 
--- a/src/main/daemon.cpp
+++ b/src/main/daemon.cpp
@@ -1,5 +1,8 @@
 #include "main/daemon.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/strand.hpp>
 #include <easylogging++.h>
 
 #include <chrono>
@@ -54,6 +57,9 @@
           this->dispatcher, this->gate, this->homes, this->fleet)
     , terms(context, this->configuration, this->workers, this->dispatcher,
           this->fleet)
+    , probed{ this->terms }
+    , probes(this->probed, this->dispatcher.get_state(),
+          this->dispatcher.get_connections())
     , requests(
           this->gate, this->claims, this->guard, this->upstreams, this->metrics)
     , callers(context, this->configuration, this->requests)
@@ -78,6 +84,8 @@
     this->keeper.start();
     this->evidence.start();
     this->terms.start();
+    asio::co_spawn(
+        asio::make_strand(this->context), this->probes.run(), asio::detached);
     return true;
 }
 
--- a/src/main/daemon.hpp
+++ b/src/main/daemon.hpp
@@ -21,6 +21,7 @@
 #include "operators/admin_server.hpp"
 #include "operators/metrics.hpp"
 #include "platform/object_client.hpp"
+#include "upstream/probe_loop.hpp"
 #include "upstream/worker_directory.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -49,6 +50,16 @@
     using flow = caller::request_flow<admission_gate, claim_service, guard_link,
         dispatch_link, operators::metrics>;
 
+    /// The workers to probe; an upstream::probe_targets.
+    struct probed_workers {
+        const terms_loop& terms;
+
+        std::vector<upstream::worker> workers() const
+        {
+            return this->terms.used_workers();
+        }
+    };
+
     void stop_loops();
 
     boost::asio::io_context& context;
@@ -75,6 +86,8 @@
     roster_keeper keeper;
     evidence_loop evidence;
     terms_loop terms;
+    probed_workers probed;
+    upstream::probe_loop<probed_workers> probes;
     flow requests;
     caller::http_server<configuration_in_force, flow> callers;
     admin_view view;
--- a/src/main/terms_loop.cpp
+++ b/src/main/terms_loop.cpp
@@ -26,22 +26,39 @@
 {
     while (!this->stopped)
     {
-        std::vector<upstream::subset_daemon> daemons;
-        for (const fleet::zone_daemon& each : this->fleet.live_daemons())
-        {
-            daemons.push_back(upstream::subset_daemon::make(
-                each.get_daemon(), each.get_zone()));
-        }
-        for (const auto& service : this->configuration.get_services())
-        {
-            this->refresh(service, daemons);
-        }
+        this->refresh_all();
         co_await core::wait_until(
             core::runtime_clock::now() + refresh_interval);
     }
 }
 
-void terms_loop::refresh(const operators::service_settings& service,
+void terms_loop::refresh_all()
+{
+    std::vector<upstream::subset_daemon> daemons;
+    for (const fleet::zone_daemon& each : this->fleet.live_daemons())
+    {
+        daemons.push_back(
+            upstream::subset_daemon::make(each.get_daemon(), each.get_zone()));
+    }
+    bool has_changed = false;
+    for (const auto& service : this->configuration.get_services())
+    {
+        const bool is_new = this->refresh(service, daemons);
+        has_changed = has_changed || is_new;
+    }
+    if (!has_changed)
+    {
+        return;
+    }
+    std::vector<upstream::worker> all;
+    for (const auto& [service, workers] : this->used_by_service)
+    {
+        all.insert(all.end(), workers.begin(), workers.end());
+    }
+    this->used.store(std::move(all));
+}
+
+bool terms_loop::refresh(const operators::service_settings& service,
     const std::vector<upstream::subset_daemon>& daemons)
 {
     const auto& id = service.get_id();
@@ -49,17 +66,27 @@
     const auto last = this->known.find(id);
     if (last != this->known.end() && last->second == present)
     {
-        return;
+        return false;
     }
     const auto slots = service.get_slots_per_worker();
     const core::slot_count all_slots(
         slots.get() * static_cast<std::int64_t>(present.workers.size()));
     auto subset = upstream::find_subset(this->fleet.self().get_id(), daemons,
         present.workers, service.get_connections_per_worker());
+    auto& used = this->used_by_service[id];
+    used.clear();
+    for (const upstream::worker& each : present.workers)
+    {
+        if (subset.contains(each.get_id()))
+        {
+            used.push_back(each);
+        }
+    }
     this->dispatcher.get_state().store_terms(id,
         upstream::service_terms::make(slots, all_slots,
             static_cast<std::int64_t>(daemons.size()), std::move(subset)));
     this->known.insert_or_assign(id, std::move(present));
+    return true;
 }
 
 } // namespace pollenward::main
--- a/src/main/terms_loop.hpp
+++ b/src/main/terms_loop.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/sharded_snapshot.hpp"
 #include "main/configuration_in_force.hpp"
 #include "main/dispatch_link.hpp"
 #include "main/fleet_port.hpp"
@@ -28,12 +29,20 @@
         , workers(workers)
         , dispatcher(dispatcher)
         , fleet(fleet)
+        , used(std::vector<upstream::worker>())
     {
     }
 
     void start();
     void stop() { this->stopped = true; }
 
+    /// The workers that this daemon uses, for upstream::probe_loop.
+    std::vector<upstream::worker> used_workers() const
+    {
+        return this->used.read(
+            [](const std::vector<upstream::worker>& all) { return all; });
+    }
+
 private:
     /// What the terms of a service were computed from.
     struct inputs {
@@ -45,7 +54,9 @@
     };
 
     boost::asio::awaitable<void> run();
-    void refresh(const operators::service_settings& service,
+    void refresh_all();
+    /// True if the terms changed.
+    bool refresh(const operators::service_settings& service,
         const std::vector<upstream::subset_daemon>& daemons);
 
     boost::asio::io_context& context;
@@ -54,6 +65,8 @@
     worker_dispatcher& dispatcher;
     const fleet_port& fleet;
     std::map<core::service_id, inputs> known;
+    std::map<core::service_id, std::vector<upstream::worker>> used_by_service;
+    core::sharded_snapshot<std::vector<upstream::worker>> used;
     std::atomic<bool> stopped{ false };
 };
 
--- a/tests/process/failures_test.cpp
+++ b/tests/process/failures_test.cpp
@@ -242,6 +242,12 @@
 {
     cluster system({ 2, 2, "{}" });
     REQUIRE(system.start());
+    // Retries are paid from a tenth of the requests so far, and refusals by the
+    // draining worker are retried.
+    for (int i = 0; i < 60; ++i)
+    {
+        REQUIRE(system.lookup(i % 2));
+    }
     system.control_worker(0, R"({"draining": true})");
     const auto refused = [&] {
         const auto reply = http_call(system.worker_port(0), "GET", "/runs");
