Count zones whose view is unknown against an ejection

In most, zones that were cut off reported no evidence and were taken for zones without traffic, so that one or two zones decided alone; in one, timeouts from before the end of a cut still counted. Change: zones that are silent or have demand without evidence count as zones that see no failure; a fault has to be present at a rate above 0.2; silent zones are remembered for 1 min instead of 10. Conclusion: fewer zones can no longer decide for those that are cut off.

--- a/src/fleet/capacity_share.cpp
+++ b/src/fleet/capacity_share.cpp
@@ -113,6 +113,7 @@
     }
     const double free = capacity - total_demand(claims);
     std::vector<double> shares;
+    shares.reserve(claims.size());
     for (const share_claim& each : claims)
     {
         shares.push_back(std::max(total_of(each.get_demand()) + free,
--- a/src/fleet/evidence_merge.cpp
+++ b/src/fleet/evidence_merge.cpp
@@ -128,6 +128,7 @@
         }
     }
     std::vector<source_demand> all;
+    all.reserve(by_zone.size());
     for (const auto& [zone, demand] : by_zone)
     {
         all.push_back(source_demand::make(zone, demand));
@@ -147,6 +148,14 @@
             silent.push_back(zone);
         }
     }
+    for (const auto& [source, each] : this->zones)
+    {
+        if (each.is_valid(now) && each.report->get_entries().empty()
+            && total_of(each.report->get_demand()) > 0)
+        {
+            silent.push_back(each.report->get_zone());
+        }
+    }
     return silent;
 }
 
--- a/src/fleet/evidence_merge.hpp
+++ b/src/fleet/evidence_merge.hpp
@@ -20,7 +20,9 @@
 inline constexpr core::duration report_validity = core::seconds(5);
 
 /// A zone that reported within this time and does not now is silent.
-inline constexpr core::duration zone_memory = std::chrono::minutes(10);
+/// After that, the zones that do hear each other decide without it: regions
+/// lose contact for minutes.
+inline constexpr core::duration zone_memory = std::chrono::minutes(1);
 
 /// The demand of one daemon or zone.
 class source_demand {
@@ -72,7 +74,9 @@
     /// Present demand per zone, the own one included, sorted by zone.
     std::vector<source_demand> zone_demand(core::time_point now) const;
 
-    /// The zones that reported before but not within `report_validity`.
+    /// The zones whose view is not known: those that reported before but not
+    /// within `report_validity`, and those that have demand but no evidence,
+    /// since all of it was left out as a fault of their own.
     std::vector<core::zone_id> silent_zones(core::time_point now) const;
 
     /// What the own zone tells the others. Daemons that fail with most workers
--- a/src/fleet/service_home.cpp
+++ b/src/fleet/service_home.cpp
@@ -202,10 +202,13 @@
 {
     const double slots = this->healthy_slots(now);
     const auto live = this->view.get_live_daemons().size();
+    const auto claiming = this->merge.zone_demand(now);
     int silent = 0;
     for (const core::zone_id& each : this->silent_zones(now))
     {
-        silent += this->daemons_in(each);
+        const bool is_claiming = std::any_of(claiming.begin(), claiming.end(),
+            [&](const auto& zone) { return zone.get_source() == each.str(); });
+        silent += is_claiming ? 0 : this->daemons_in(each);
     }
     return live == 0
         ? slots
--- a/src/upstream/ejection_policy.cpp
+++ b/src/upstream/ejection_policy.cpp
@@ -21,6 +21,10 @@
     // Without the zones that see the worker worst, the others only have to
     // confirm a fault; the full bound would ask for the same evidence twice.
     constexpr double trimmed_rate_bound = failure_rate_bound / 2;
+    // Two thirds of the least rate that must be ejected. Attempts that time out
+    // end up to a second after the fault, and the fast window fades for
+    // seconds.
+    constexpr double present_rate_bound = 0.2;
     // On trial, traffic is a sixteenth, and the worker was bad before.
     constexpr double least_trial_failures = 2;
     // A worker that fails 3 in 10 passes ten requests by chance in 3 of 100.
@@ -90,13 +94,15 @@
     /// The sum without the half of the zones that see the worker worst. A
     /// worker that a region cannot reach looks bad to that region's zones; one
     /// failure elsewhere must not complete the case against it.
-    evidence_counts widest_view(std::vector<evidence_counts> by_zone)
+    evidence_counts widest_view(
+        std::vector<evidence_counts> by_zone, int unknown_zones)
     {
         std::sort(by_zone.begin(), by_zone.end(),
             [](const auto& left, const auto& right) {
                 return worst_rate(left) > worst_rate(right);
             });
-        const std::size_t dropped = by_zone.size() / 2;
+        const std::size_t dropped
+            = (by_zone.size() + static_cast<std::size_t>(unknown_zones)) / 2;
         evidence_counts sum;
         for (std::size_t i = dropped; i < by_zone.size(); ++i)
         {
@@ -112,12 +118,12 @@
         const double total
             = counts.get_fast_failures() + counts.get_fast_successes();
         return total < 1
-            || counts.get_fast_failures() > failure_rate_bound * total;
+            || counts.get_fast_failures() > present_rate_bound * total;
     }
 
     assessment assess(const core::worker_id& worker,
-        const std::vector<source_evidence>& zones, const record_map& records,
-        core::time_point now)
+        const std::vector<source_evidence>& zones, int unknown_zones,
+        const record_map& records, core::time_point now)
     {
         assessment made;
         made.worker = worker;
@@ -138,33 +144,34 @@
             ? made.total
             : since_baseline(record->second, made.total, now);
         made.lower_bound = failure_bound_of(made.recent, least_failures);
-        made.trimmed_lower_bound = failure_bound_of(
-            widest_view(std::move(by_zone)), least_trimmed_failures);
+        made.trimmed_lower_bound
+            = failure_bound_of(widest_view(std::move(by_zone), unknown_zones),
+                least_trimmed_failures);
         return made;
     }
 
     std::vector<assessment> assess_all(const std::vector<worker>& workers,
-        const std::vector<source_evidence>& zones, const record_map& records,
-        core::time_point now)
+        const std::vector<source_evidence>& zones, int unknown_zones,
+        const record_map& records, core::time_point now)
     {
         std::vector<assessment> all;
         all.reserve(workers.size());
         for (const worker& each : workers)
         {
-            all.push_back(assess(each.get_id(), zones, records, now));
+            all.push_back(
+                assess(each.get_id(), zones, unknown_zones, records, now));
         }
         return all;
     }
 
-    /// Most of the zones with traffic must see the failures, not just two: a
-    /// region that is cut off from a worker has two zones. A zone that is not
-    /// heard any more counts if fewer than two are heard, so that a zone that
-    /// is cut off from all others ejects nothing on its own word.
-    bool is_seen_widely(const assessment& made, int silent_zones)
+    /// Most of the zones must see the failures, not just two: a region that is
+    /// cut off from a worker has two zones. Zones whose view is not known count
+    /// as zones that see none, or a few zones that are cut off themselves would
+    /// decide alone.
+    bool is_seen_widely(const assessment& made, int unknown_zones)
     {
-        const int known = made.zones_with_traffic + silent_zones;
-        const int needed
-            = std::max(std::min(2, known), made.zones_with_traffic / 2 + 1);
+        const int known = made.zones_with_traffic + unknown_zones;
+        const int needed = std::max(std::min(2, known), known / 2 + 1);
         return made.zones_with_failures >= needed;
     }
 
@@ -327,12 +334,12 @@
     }
 
     /// True if the evidence alone is enough for an ejection.
-    bool is_condemned(const assessment& made, double others, int silent_zones)
+    bool is_condemned(const assessment& made, double others, int unknown_zones)
     {
         return made.lower_bound > std::max(failure_rate_bound, others)
             && made.trimmed_lower_bound > std::max(trimmed_rate_bound, others)
             && is_failing_now(made.recent)
-            && is_seen_widely(made, silent_zones);
+            && is_seen_widely(made, unknown_zones);
     }
 
     /// True if another home ejected the worker and two zones still show
@@ -435,7 +442,8 @@
     {
         before.emplace(each.get_worker(), each);
     }
-    const auto all = assess_all(input.get_workers(), zones, before, now);
+    const auto all = assess_all(
+        input.get_workers(), zones, input.get_silent_zones(), before, now);
     const bool is_shared = has_shared_cause(all, before, now);
     record_map records
         = advance_all(previous, all, input.get_silent_zones(), is_shared, now);
@@ -444,7 +452,9 @@
         // With the evidence of faulty paths: without it, the only worker of a
         // zone that is left would look like the only bad one.
         const auto unreachable = unreachable_zones(input.get_workers(),
-            assess_all(input.get_workers(), heard, before, now), records, now);
+            assess_all(input.get_workers(), heard, input.get_silent_zones(),
+                before, now),
+            records, now);
         eject(
             candidates(input, all, unreachable, records), input, records, now);
     }
--- a/src/upstream/ejection_policy.hpp
+++ b/src/upstream/ejection_policy.hpp
@@ -16,9 +16,9 @@
 class ejection_input {
 public:
     /// `sources` are the daemons of the home's zone and the other zones.
-    /// `silent_zones` is the number of zones that reported before but do not
-    /// now: what they see is not known. `elsewhere` are the workers that homes
-    /// of other zones have ejected.
+    /// `silent_zones` is the number of zones that send work but whose view is
+    /// not known: not heard any more, or cut off themselves. `elsewhere` are
+    /// the workers that homes of other zones have ejected.
     static ejection_input make(std::vector<worker> workers,
         std::vector<core::worker_id> draining, double floor_share,
         std::vector<source_evidence> sources, int silent_zones,
@@ -70,8 +70,8 @@
 /// Workers that were never ejected have no record. The rules:
 /// - A worker is ejected if the lower confidence bound of its failure rate is
 ///   above failure_rate_bound and above the rate of the other workers.
-/// - Two zones and most of the zones with traffic must see failures, or the
-///   only zone that has ever reported. The half of the zones that see the
+/// - Two zones and most of the zones must see failures, those that are silent
+///   included, or the only zone there is. The half of the zones that see the
 ///   worker worst may not be the only ones to see it fail.
 /// - A worker that another home ejected needs failures in two zones only.
 /// - Sources and paths that are at fault themselves are left out.
--- a/tests/fleet/evidence_merge_test.cpp
+++ b/tests/fleet/evidence_merge_test.cpp
@@ -104,7 +104,22 @@
     CHECK(merge.sources(later).empty());
     CHECK(merge.without_expired(later).silent_zones(later)
         == std::vector{ core::zone_id("z1") });
-    CHECK(merge.silent_zones(start + std::chrono::minutes(10)).empty());
+    CHECK(merge.silent_zones(start + zone_memory).empty());
+}
+
+// Guards against a zone that is cut off and so without evidence, but is taken
+// for one without traffic: the few zones left would decide alone.
+TEST_CASE("a zone with demand but no evidence is silent", "[merge]")
+{
+    const core::zone_id z1("z1");
+    const auto summary = [&](double demand) {
+        return evidence_merge::make(own_zone).with_report(
+            evidence_report::make(
+                report_level::zone, "z1", z1, service, 1, {}, { 0, demand, 0 }),
+            start);
+    };
+    CHECK(summary(3).silent_zones(start) == std::vector{ z1 });
+    CHECK(summary(0).silent_zones(start).empty());
 }
 
 TEST_CASE("a summary adds up the daemons of the zone", "[merge]")
--- a/tests/upstream/ejection_policy_test.cpp
+++ b/tests/upstream/ejection_policy_test.cpp
@@ -100,15 +100,21 @@
 // that half of the zones cannot reach. Fails without widest_view().
 TEST_CASE("one more failure does not confirm a path fault", "[ejection]")
 {
-    auto sources = evidence([](int zone, int worker) {
-        return zone < zone_count / 2 && worker == 3;
-    }).get_sources();
-    auto counts = sources[2].get_counts();
-    counts[worker_name(3)] = evidence_counts::make(4, 1, 8, 1);
-    sources[2] = source_evidence::make(
-        sources[2].get_source(), sources[2].get_zone(), counts);
-    CHECK(decide(ejection_input::make(all_workers(), {}, 0.5, sources, 0, {}))
-              .empty());
+    const auto with_one_failure = [](int zone, int silent) {
+        auto sources = evidence([zone](int from, int worker) {
+            return from < zone && worker == 3;
+        }).get_sources();
+        auto counts = sources[zone].get_counts();
+        counts[worker_name(3)] = evidence_counts::make(4, 1, 8, 1);
+        sources[zone] = source_evidence::make(
+            sources[zone].get_source(), sources[zone].get_zone(), counts);
+        return decide(
+            ejection_input::make(all_workers(), {}, 0.5, sources, silent, {}));
+    };
+    CHECK(with_one_failure(2, 0).empty());
+    // Three of six zones fail, and two are not known.
+    CHECK(with_one_failure(3, 2).empty());
+    CHECK(with_one_failure(3, 0) == ids{ "w3" });
 }
 
 // Guards against a source without network that condemns all workers. Fails
@@ -174,6 +180,15 @@
     CHECK(with_silent(3).empty());
 }
 
+// Guards against a few zones that decide while the view of the others is not
+// known. Fails if widest_view() ignores unknown zones.
+TEST_CASE("zones with an unknown view count against", "[ejection]")
+{
+    const auto failing = [](int, int worker) { return worker == 3; };
+    CHECK(decide(evidence(failing, 0.5, 3)) == ids{ "w3" });
+    CHECK(decide(evidence(failing, 0.5, 4)).empty());
+}
+
 // Guards against homes that never agree, because a zone that has ejected a
 // worker sends it no work and so has no evidence.
 TEST_CASE("two failing zones confirm another home's ejection", "[ejection]")
@@ -203,6 +218,10 @@
     const auto good = evidence([](int, int) { return false; });
     const auto stepped = decide_ejections(good, records, later);
     CHECK(stepped[0].get_weight() == 0.25);
+    // Fails if is_seen_widely() ignores unknown zones.
+    const auto uncertain
+        = evidence([](int, int worker) { return worker == 3; }, 0.5, 4);
+    CHECK(ejected(decide_ejections(uncertain, records, later)).empty());
     const auto failed = decide_ejections(bad, records, later);
     CHECK(failed[0].get_state() == worker_state::ejected);
     CHECK(failed[0].get_hold_end() == later + core::seconds(10));
