Give the property tests a fixed default seed

Cause: RapidCheck takes a random seed unless RC_PARAMS is set. Change: the property tests set RC_PARAMS to seed=1 unless it is set.

--- a/tests/fleet/capacity_share_test.cpp
+++ b/tests/fleet/capacity_share_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <cstdlib>
 #include <numeric>
 
 using namespace pollenward;
@@ -10,6 +11,9 @@
 
 namespace {
 
+// RapidCheck reads its seed at the first check; a set RC_PARAMS is kept.
+const int fixed_seed = setenv("RC_PARAMS", "seed=1", 0);
+
 std::vector<share_claim> any_claims()
 {
     std::vector<share_claim> claims;
--- a/tests/fleet/evidence_merge_test.cpp
+++ b/tests/fleet/evidence_merge_test.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <map>
 #include <string>
 
@@ -12,6 +13,9 @@
 
 namespace {
 
+// RapidCheck reads its seed at the first check; a set RC_PARAMS is kept.
+const int fixed_seed = setenv("RC_PARAMS", "seed=1", 0);
+
 const core::time_point start{ core::seconds(1000) };
 const core::service_id service("votes");
 const core::zone_id own_zone("z0");
