--- a/bench/decision_driver/decision_driver.cpp
+++ b/bench/decision_driver/decision_driver.cpp
@@ -23,6 +23,7 @@
     {
         std::vector<run_result> results(runs);
         std::vector<std::jthread> pool;
+        pool.reserve(threads);
         for (int t = 0; t < threads; ++t)
         {
             pool.emplace_back([&, t] {
@@ -41,6 +42,7 @@
     std::string quantile(const std::vector<run_result>& runs, double share)
     {
         std::vector<double> times;
+        times.reserve(runs.size());
         for (const run_result& each : runs)
         {
             times.push_back(
--- a/bench/decision_driver/naive_detector.hpp
+++ b/bench/decision_driver/naive_detector.hpp
@@ -53,6 +53,7 @@
     std::vector<double> weights(int daemon) const
     {
         std::vector<double> all;
+        all.reserve(worker_count);
         for (int worker = 0; worker < worker_count; ++worker)
         {
             all.push_back(this->is_out(daemon, worker) ? 0 : 1);
--- a/bench/decision_driver/pooled_detector.cpp
+++ b/bench/decision_driver/pooled_detector.cpp
@@ -34,6 +34,7 @@
     std::vector<fleet::zone_daemon> all_daemons()
     {
         std::vector<fleet::zone_daemon> all;
+        all.reserve(daemon_count);
         for (int i = 0; i < daemon_count; ++i)
         {
             all.push_back(fleet::zone_daemon::make(daemon_name(i),
@@ -300,18 +301,19 @@
 }
 
 // Approximate MessagePack sizes: strings with one byte of length, doubles of
-// nine bytes, and 30 bytes of type, service, zone and sequence number.
+// nine bytes, ids of ten, and 30 bytes of type, service, zone and sequence
+// number.
 void pooled_detector::count(const fleet::evidence_report& report)
 {
     ++this->sent.messages;
-    this->sent.bytes += 30 + report.get_source().size() + 3 * 9
-        + report.get_entries().size() * (1 + 10 + 4 * 9);
+    this->sent.bytes += 57 + report.get_source().size()
+        + report.get_entries().size() * std::size_t{ 47 };
 }
 
 void pooled_detector::count(const fleet::verdict_reply& reply)
 {
     ++this->sent.messages;
-    this->sent.bytes += 20 + reply.get_verdicts().size() * (1 + 10 + 9 + 6);
+    this->sent.bytes += 20 + reply.get_verdicts().size() * std::size_t{ 26 };
 }
 
 } // namespace pollenward::bench
--- a/tests/fleet/service_home_test.cpp
+++ b/tests/fleet/service_home_test.cpp
@@ -16,6 +16,7 @@
 std::vector<zone_daemon> daemons()
 {
     std::vector<zone_daemon> all;
+    all.reserve(6);
     for (int i = 0; i < 6; ++i)
     {
         all.push_back(
@@ -28,6 +29,7 @@
 service_view view()
 {
     std::vector<upstream::worker> workers;
+    workers.reserve(5);
     for (int i = 0; i < 5; ++i)
     {
         workers.push_back(
@@ -43,6 +45,7 @@
     const std::string& zone, std::uint64_t sequence)
 {
     std::vector<evidence_entry> entries;
+    entries.reserve(5);
     for (int i = 0; i < 5; ++i)
     {
         entries.push_back(
--- a/tests/upstream/ejection_policy_test.cpp
+++ b/tests/upstream/ejection_policy_test.cpp
@@ -28,6 +28,7 @@
 std::vector<worker> all_workers()
 {
     std::vector<worker> workers;
+    workers.reserve(worker_count);
     for (int i = 0; i < worker_count; ++i)
     {
         workers.push_back(worker::make(worker_name(i), {},
--- a/tests/upstream/evidence_test.cpp
+++ b/tests/upstream/evidence_test.cpp
@@ -48,6 +48,7 @@
     evidence_store store;
     {
         std::vector<std::jthread> threads;
+        threads.reserve(4);
         for (int t = 0; t < 4; ++t)
         {
             threads.emplace_back([&] {
