--- a/src/upstream/ejection_policy.cpp
+++ b/src/upstream/ejection_policy.cpp
@@ -1,9 +1,9 @@
 #include "upstream/ejection_policy.hpp"
 
-#include "upstream/evidence_window.hpp"
 #include "upstream/failure_rate.hpp"
 #include "upstream/floor.hpp"
 #include "upstream/path_fault.hpp"
+#include "upstream/worker_assessment.hpp"
 
 #include <algorithm>
 #include <map>
@@ -14,10 +14,6 @@
 
 namespace {
 
-    // One or two bad answers can come from one bad request; an ejection needs
-    // more than that whatever the rate.
-    constexpr double least_failures = 5;
-    constexpr double least_trimmed_failures = 2;
     // Without the zones that see the worker worst, the others only have to
     // confirm a fault; the full bound would ask for the same evidence twice.
     constexpr double trimmed_rate_bound = failure_rate_bound / 2;
@@ -32,139 +28,14 @@
     // A worker without an ejection for this long starts again at 5 s.
     constexpr core::duration memory = std::chrono::minutes(10);
 
-    using record_map = std::map<core::worker_id, worker_record>;
-
-    /// The evidence on one worker and what follows from it alone.
-    struct assessment {
-        core::worker_id worker;
-        evidence_counts total;
-        /// `total` without what was seen before the last return from ejection.
-        evidence_counts recent;
-        int zones_with_traffic = 0;
-        int zones_with_failures = 0;
-        double lower_bound = 0;
-        /// The same without the zones that see it worst; see widest_view().
-        double trimmed_lower_bound = 0;
-
-        bool is_suspect() const { return shows_failures(this->recent); }
-    };
-
-    double failure_bound_of(const evidence_counts& counts, double least)
-    {
-        const double fast = counts.get_fast_failures() < least
-            ? 0
-            : failure_rate_lower_bound(
-                counts.get_fast_failures(), counts.get_fast_successes());
-        const double slow = counts.get_slow_failures() < least
-            ? 0
-            : failure_rate_lower_bound(
-                counts.get_slow_failures(), counts.get_slow_successes());
-        return std::max(fast, slow);
-    }
-
-    evidence_counts since_baseline(const worker_record& record,
-        const evidence_counts& counts, core::time_point now)
-    {
-        const auto old
-            = decayed(record.get_baseline(), now - record.get_since());
-        const auto left = [](double present, double before) {
-            return std::max(0.0, present - before);
-        };
-        return evidence_counts::make(
-            left(counts.get_fast_successes(), old.get_fast_successes()),
-            left(counts.get_fast_failures(), old.get_fast_failures()),
-            left(counts.get_slow_successes(), old.get_slow_successes()),
-            left(counts.get_slow_failures(), old.get_slow_failures()));
-    }
-
-    double worst_rate(const evidence_counts& counts)
-    {
-        const auto rate = [](double failures, double successes) {
-            return failures > 0 ? failures / (failures + successes) : 0;
-        };
-        return std::max(
-            rate(counts.get_fast_failures(), counts.get_fast_successes()),
-            rate(counts.get_slow_failures(), counts.get_slow_successes()));
-    }
-
-    /// The sum without the half of the zones that see the worker worst. A
-    /// worker that a region cannot reach looks bad to that region's zones; one
-    /// failure elsewhere must not complete the case against it.
-    evidence_counts widest_view(std::vector<evidence_counts> by_zone)
-    {
-        std::sort(by_zone.begin(), by_zone.end(),
-            [](const auto& left, const auto& right) {
-                return worst_rate(left) > worst_rate(right);
-            });
-        const std::size_t dropped = by_zone.size() / 2;
-        evidence_counts sum;
-        for (std::size_t i = dropped; i < by_zone.size(); ++i)
-        {
-            sum = sum + by_zone[i];
-        }
-        return sum;
-    }
-
-    /// False if the failures are over: the slow window remembers a fault for
-    /// long after it has ended.
-    bool is_failing_now(const evidence_counts& counts)
-    {
-        const double total
-            = counts.get_fast_failures() + counts.get_fast_successes();
-        return total < 1
-            || counts.get_fast_failures() > failure_rate_bound * total;
-    }
-
-    assessment assess(const core::worker_id& worker,
-        const std::vector<source_evidence>& zones, const record_map& records,
-        core::time_point now)
-    {
-        assessment made;
-        made.worker = worker;
-        std::vector<evidence_counts> by_zone;
-        for (const source_evidence& zone : zones)
-        {
-            const evidence_counts counts = zone.counts_of(worker);
-            made.total = made.total + counts;
-            if (has_traffic(counts))
-            {
-                ++made.zones_with_traffic;
-                by_zone.push_back(counts);
-            }
-            made.zones_with_failures += shows_failures(counts) ? 1 : 0;
-        }
-        const auto record = records.find(worker);
-        made.recent = record == records.end()
-            ? made.total
-            : since_baseline(record->second, made.total, now);
-        made.lower_bound = failure_bound_of(made.recent, least_failures);
-        made.trimmed_lower_bound = failure_bound_of(
-            widest_view(std::move(by_zone)), least_trimmed_failures);
-        return made;
-    }
-
-    std::vector<assessment> assess_all(const std::vector<worker>& workers,
-        const std::vector<source_evidence>& zones, const record_map& records,
-        core::time_point now)
-    {
-        std::vector<assessment> all;
-        all.reserve(workers.size());
-        for (const worker& each : workers)
-        {
-            all.push_back(assess(each.get_id(), zones, records, now));
-        }
-        return all;
-    }
-
-    /// Most of the zones with traffic must see the failures, not just two: a
-    /// region that is cut off from a worker has two zones. A zone that is not
-    /// heard any more counts if fewer than two are heard, so that a zone that
-    /// is cut off from all others ejects nothing on its own word.
-    bool is_seen_widely(const assessment& made, int silent_zones)
+    /// Most of the zones must see the failures, not just two: a region that is
+    /// cut off from a worker has two zones. Zones whose view is not known count
+    /// as zones that see none, or a few zones that are cut off themselves would
+    /// decide alone.
+    bool is_seen_widely(const assessment& made, int unknown_zones)
     {
-        const int known = made.zones_with_traffic + silent_zones;
-        const int needed
-            = std::max(std::min(2, known), made.zones_with_traffic / 2 + 1);
+        const int known = made.zones_with_traffic + unknown_zones;
+        const int needed = std::max(std::min(2, known), known / 2 + 1);
         return made.zones_with_failures >= needed;
     }
 
@@ -327,12 +198,12 @@
     }
 
     /// True if the evidence alone is enough for an ejection.
-    bool is_condemned(const assessment& made, double others, int silent_zones)
+    bool is_condemned(const assessment& made, double others, int unknown_zones)
     {
         return made.lower_bound > std::max(failure_rate_bound, others)
             && made.trimmed_lower_bound > std::max(trimmed_rate_bound, others)
             && is_failing_now(made.recent)
-            && is_seen_widely(made, silent_zones);
+            && is_seen_widely(made, unknown_zones);
     }
 
     /// True if another home ejected the worker and two zones still show
@@ -435,7 +306,8 @@
     {
         before.emplace(each.get_worker(), each);
     }
-    const auto all = assess_all(input.get_workers(), zones, before, now);
+    const auto all = assess_all(
+        input.get_workers(), zones, input.get_silent_zones(), before, now);
     const bool is_shared = has_shared_cause(all, before, now);
     record_map records
         = advance_all(previous, all, input.get_silent_zones(), is_shared, now);
@@ -444,7 +316,9 @@
         // With the evidence of faulty paths: without it, the only worker of a
         // zone that is left would look like the only bad one.
         const auto unreachable = unreachable_zones(input.get_workers(),
-            assess_all(input.get_workers(), heard, before, now), records, now);
+            assess_all(input.get_workers(), heard, input.get_silent_zones(),
+                before, now),
+            records, now);
         eject(
             candidates(input, all, unreachable, records), input, records, now);
     }
