Send verdicts to the daemons of a zone at once

Change: verdict_notice, sent by a home to its zone when a worker was ejected; homes take in the replies to their summaries; counts travel in single precision.

--- a/src/fleet/evidence_codec.cpp
+++ b/src/fleet/evidence_codec.cpp
@@ -8,12 +8,31 @@
 
     using nlohmann::json;
 
+    /// Counts in single precision take five bytes instead of nine, and seven
+    /// digits are more than any decision needs.
+    double compact(double value)
+    {
+        return static_cast<double>(static_cast<float>(value));
+    }
+
     json encode_entry(const evidence_entry& each)
     {
         const upstream::evidence_counts& counts = each.get_counts();
-        return json::array({ each.get_worker().str(),
-            counts.get_fast_successes(), counts.get_fast_failures(),
-            counts.get_slow_successes(), counts.get_slow_failures() });
+        return json::array(
+            { each.get_worker().str(), compact(counts.get_fast_successes()),
+                compact(counts.get_fast_failures()),
+                compact(counts.get_slow_successes()),
+                compact(counts.get_slow_failures()) });
+    }
+
+    json encode_demand(const rank_demand& demand)
+    {
+        json values = json::array();
+        for (const double each : demand)
+        {
+            values.push_back(compact(each));
+        }
+        return values;
     }
 
     evidence_entry decode_entry(array_reader& fields)
@@ -36,6 +55,16 @@
             static_cast<std::uint64_t>(each.get_ejections()) });
     }
 
+    json encode_verdicts(const std::vector<upstream::verdict>& verdicts)
+    {
+        json rows = json::array();
+        for (const upstream::verdict& each : verdicts)
+        {
+            rows.push_back(encode_verdict(each));
+        }
+        return rows;
+    }
+
     upstream::verdict decode_verdict(array_reader& fields)
     {
         constexpr std::uint64_t max_ejections = 1'000'000;
@@ -107,14 +136,10 @@
 
 json encode_fields(const verdict_reply& content)
 {
-    json verdicts = json::array();
-    for (const upstream::verdict& each : content.get_verdicts())
-    {
-        verdicts.push_back(encode_verdict(each));
-    }
-    return json::array({ std::move(verdicts), content.get_share(),
-        static_cast<std::uint64_t>(content.get_share_validity().count()),
-        content.is_overloaded(), encode_workers(content.get_draining()) });
+    return json::array(
+        { encode_verdicts(content.get_verdicts()), content.get_share(),
+            static_cast<std::uint64_t>(content.get_share_validity().count()),
+            content.is_overloaded(), encode_workers(content.get_draining()) });
 }
 
 verdict_reply decode_fields(
@@ -129,4 +154,18 @@
         is_overloaded, std::move(draining));
 }
 
+json encode_fields(const verdict_notice& content)
+{
+    return json::array({ content.get_service().str(),
+        encode_verdicts(content.get_verdicts()) });
+}
+
+verdict_notice decode_fields(
+    array_reader& fields, type_of_message<verdict_notice>)
+{
+    auto service = fields.read_id<core::service_id>();
+    auto verdicts = fields.read_list(decode_verdict);
+    return verdict_notice::make(std::move(service), std::move(verdicts));
+}
+
 } // namespace pollenward::fleet
--- a/src/fleet/field_codecs.hpp
+++ b/src/fleet/field_codecs.hpp
@@ -27,6 +27,7 @@
 nlohmann::json encode_fields(const claim_page& content);
 nlohmann::json encode_fields(const guard_notice& content);
 nlohmann::json encode_fields(const receipt& content);
+nlohmann::json encode_fields(const verdict_notice& content);
 
 ping decode_fields(array_reader& fields, type_of_message<ping>);
 ack decode_fields(array_reader& fields, type_of_message<ack>);
@@ -46,5 +47,7 @@
 claim_page decode_fields(array_reader& fields, type_of_message<claim_page>);
 guard_notice decode_fields(array_reader& fields, type_of_message<guard_notice>);
 receipt decode_fields(array_reader& fields, type_of_message<receipt>);
+verdict_notice decode_fields(
+    array_reader& fields, type_of_message<verdict_notice>);
 
 } // namespace pollenward::fleet
--- a/src/fleet/message.hpp
+++ b/src/fleet/message.hpp
@@ -10,6 +10,7 @@
 #include "fleet/guard_notice.hpp"
 #include "fleet/ping.hpp"
 #include "fleet/receipt.hpp"
+#include "fleet/verdict_notice.hpp"
 #include "fleet/verdict_reply.hpp"
 
 #include <array>
@@ -22,12 +23,12 @@
 /// on the wire: new alternatives go to the end.
 using message = std::variant<ping, ack, ping_request, fetch_document, document,
     evidence_report, verdict_reply, claim_request, claim_reply, claim_settle,
-    claim_copy, claim_page, guard_notice, receipt>;
+    claim_copy, claim_page, guard_notice, receipt, verdict_notice>;
 
 inline constexpr std::array<std::string_view, std::variant_size_v<message>>
     message_type_names = { "ping", "ack", "ping_request", "fetch_document",
         "document", "evidence_report", "verdict_reply", "claim_request",
         "claim_reply", "claim_settle", "claim_copy", "claim_page",
-        "guard_notice", "receipt" };
+        "guard_notice", "receipt", "verdict_notice" };
 
 } // namespace pollenward::fleet
--- a/src/main/daemon.cpp
+++ b/src/main/daemon.cpp
@@ -44,7 +44,6 @@
     , guard(this->fleet)
     , homes(this->chosen.get_zone(), wall_clock_base())
     , board(this->configuration, this->workers, this->claims, this->fleet)
-    , router(this->homes, this->claims, this->guard)
     , dispatcher(
           context.get_executor(), this->standings, this->standings, this->guard)
     , upstreams(this->dispatcher, this->guard)
@@ -55,6 +54,8 @@
     , keeper(context, this->store, this->claims, this->claims_link, this->fleet)
     , evidence(context, this->configuration, this->workers, this->standings,
           this->dispatcher, this->gate, this->homes, this->fleet)
+    , router(this->homes, this->evidence, this->standings, this->claims,
+          this->guard)
     , terms(context, this->configuration, this->workers, this->dispatcher,
           this->fleet)
     , probed{ this->terms }
--- a/src/main/daemon.hpp
+++ b/src/main/daemon.hpp
@@ -76,7 +76,6 @@
     guard_link guard;
     home_desk homes;
     document_board board;
-    message_router router;
     worker_dispatcher dispatcher;
     dispatch_link upstreams;
     service_limits limits;
@@ -85,6 +84,7 @@
     platform_sync sync;
     roster_keeper keeper;
     evidence_loop evidence;
+    message_router router;
     terms_loop terms;
     probed_workers probed;
     upstream::probe_loop<probed_workers> probes;
--- a/src/main/evidence_loop.cpp
+++ b/src/main/evidence_loop.cpp
@@ -133,6 +133,7 @@
     if (!home || *home == self.get_id())
     {
         this->take_reply(service, this->homes.on_report(made, now));
+        this->pass_notice(service);
         return;
     }
     progress.is_waiting_for_home = true;
@@ -159,7 +160,11 @@
     const core::service_id& service, const fleet::verdict_reply& reply)
 {
     const auto now = core::runtime_clock::now();
-    this->standings.store_verdicts(service, reply, now);
+    this->standings.store_verdicts(service, reply.get_verdicts(), now);
+    for (const core::worker_id& worker : reply.get_draining())
+    {
+        this->standings.note_drain(worker, upstream::drain_source::peer, now);
+    }
     if (reply.get_share() > 0)
     {
         this->dispatcher.get_state().store_share(service,
@@ -176,6 +181,7 @@
     service_progress& progress = this->services[id];
     this->homes.get_homes().store_view(id, this->view_of(service, live, now));
     const auto summary = this->homes.summary(id, now);
+    this->pass_notice(id);
     const bool is_in_use
         = !summary.get_entries().empty() || has_demand(summary.get_demand());
     const bool is_due = now - progress.summarised_at >= report_interval;
@@ -193,7 +199,45 @@
     {
         if (home.get_daemon() != self)
         {
-            this->fleet.tell(home.get_daemon(), summary);
+            asio::co_spawn(this->strand,
+                this->send_summary(home.get_daemon(), summary), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> evidence_loop::send_summary(
+    core::daemon_id home, fleet::evidence_report summary)
+{
+    const core::service_id service = summary.get_service();
+    core::error reason;
+    const auto reply = co_await this->fleet.exchange(
+        std::move(home), std::move(summary), reason);
+    if (const auto* taken
+        = reply ? std::get_if<fleet::verdict_reply>(&*reply) : nullptr)
+    {
+        this->homes.get_homes().on_reply(
+            service, *taken, core::runtime_clock::now());
+        this->pass_notice(service);
+    }
+}
+
+void evidence_loop::pass_notice(const core::service_id& service)
+{
+    const auto now = core::runtime_clock::now();
+    const auto notice = this->homes.get_homes().take_notice(service, now);
+    if (!notice)
+    {
+        return;
+    }
+    const auto self = this->fleet.self();
+    this->standings.store_verdicts(service, notice->get_verdicts(), now);
+    for (const fleet::zone_daemon& each : this->fleet.live_daemons())
+    {
+        if (each.get_zone() == self.get_zone()
+            && each.get_daemon() != self.get_id())
+        {
+            this->fleet.tell(each.get_daemon(),
+                fleet::verdict_notice::make(service, notice->get_verdicts()));
         }
     }
 }
--- a/src/main/evidence_loop.hpp
+++ b/src/main/evidence_loop.hpp
@@ -37,6 +37,10 @@
     void start();
     void stop() { this->stopped = true; }
 
+    /// As a home: if a worker was ejected, tells the daemons of the zone at
+    /// once. Any thread may call it.
+    void pass_notice(const core::service_id& service);
+
 private:
     /// What the loop keeps of one service between two turns.
     struct service_progress {
@@ -61,6 +65,8 @@
         core::daemon_id home, fleet::evidence_report report);
     void take_reply(
         const core::service_id& service, const fleet::verdict_reply& reply);
+    boost::asio::awaitable<void> send_summary(
+        core::daemon_id home, fleet::evidence_report summary);
     void act_as_home(const operators::service_settings& service,
         const std::vector<fleet::zone_daemon>& live, core::time_point now);
     fleet::service_view view_of(const operators::service_settings& service,
--- a/src/main/message_router.cpp
+++ b/src/main/message_router.cpp
@@ -22,7 +22,9 @@
 
 fleet::message message_router::answer(const fleet::evidence_report& report)
 {
-    return this->homes.on_report(report, core::runtime_clock::now());
+    auto reply = this->homes.on_report(report, core::runtime_clock::now());
+    this->evidence.pass_notice(report.get_service());
+    return reply;
 }
 
 fleet::message message_router::answer(const fleet::claim_request& request)
@@ -72,6 +74,13 @@
     return fleet::receipt::accepted();
 }
 
+fleet::message message_router::answer(const fleet::verdict_notice& notice)
+{
+    this->standings.store_verdicts(notice.get_service(), notice.get_verdicts(),
+        core::runtime_clock::now());
+    return fleet::receipt::accepted();
+}
+
 template <class Other>
 fleet::message message_router::answer(const Other& /*unexpected*/)
 {
--- a/src/main/message_router.hpp
+++ b/src/main/message_router.hpp
@@ -2,6 +2,7 @@
 
 #include "fleet/message.hpp"
 #include "main/document_board.hpp"
+#include "main/evidence_loop.hpp"
 #include "main/guard_link.hpp"
 #include "main/home_desk.hpp"
 
@@ -13,8 +14,11 @@
 /// documents; a fleet::message_service.
 class message_router {
 public:
-    message_router(home_desk& homes, claim_service& claims, guard_link& guard)
+    message_router(home_desk& homes, evidence_loop& evidence,
+        worker_standings& standings, claim_service& claims, guard_link& guard)
         : homes(homes)
+        , evidence(evidence)
+        , standings(standings)
         , claims(claims)
         , guard(guard)
     {
@@ -28,10 +32,13 @@
     fleet::message answer(const fleet::claim_settle& settled);
     fleet::message answer(const fleet::claim_copy& asked);
     fleet::message answer(const fleet::guard_notice& notice);
+    fleet::message answer(const fleet::verdict_notice& notice);
     template <class Other>
     fleet::message answer(const Other& unexpected);
 
     home_desk& homes;
+    evidence_loop& evidence;
+    worker_standings& standings;
     claim_service& claims;
     guard_link& guard;
 };
--- a/src/main/worker_standings.hpp
+++ b/src/main/worker_standings.hpp
@@ -2,7 +2,6 @@
 
 #include "core/ids.hpp"
 #include "core/sharded_map.hpp"
-#include "fleet/verdict_reply.hpp"
 #include "main/configuration_in_force.hpp"
 #include "upstream/attempt_result.hpp"
 #include "upstream/drain_state.hpp"
@@ -37,9 +36,9 @@
         upstream::attempt_result result, core::duration latency,
         core::time_point now);
 
-    /// Takes the verdicts of a home's reply.
+    /// Takes the verdicts of a home.
     void store_verdicts(const core::service_id& service,
-        const fleet::verdict_reply& reply, core::time_point now);
+        const std::vector<upstream::verdict>& decided, core::time_point now);
 
     void note_drain(const core::worker_id& worker,
         upstream::drain_source source, core::time_point now);
--- a/tests/process/failures_test.cpp
+++ b/tests/process/failures_test.cpp
@@ -295,3 +295,35 @@
         return reply && reply->status == 200;
     }));
 }
+
+// Guards against a worker that passes its probes while it fails real work, and
+// against capacity that stays out after the worker has recovered.
+TEST_CASE("a worker that fails real work is ejected and taken back")
+{
+    cluster system({ 4, 4, R"({"service_ms": 2})" });
+    REQUIRE(system.start());
+    const auto count_failures = [&](int requests) {
+        int failures = 0;
+        for (int i = 0; i < requests; ++i)
+        {
+            const auto reply = system.lookup(i % 4);
+            failures += reply && reply->status == 200 ? 0 : 1;
+        }
+        return failures;
+    };
+    CHECK(count_failures(100) == 0);
+    system.control_worker(2, R"({"fail_share": 1})");
+    CHECK(eventually([&] { return count_failures(100) == 0; }));
+    system.control_worker(2, R"({"fail_share": 0})");
+    const auto runs_of_worker = [&] {
+        const auto reply = http_call(system.worker_port(2), "GET", "/runs");
+        return reply ? reply->body : "";
+    };
+    const std::string before = runs_of_worker();
+    CHECK(eventually(
+        [&] {
+            CHECK(count_failures(40) == 0);
+            return runs_of_worker() != before;
+        },
+        std::chrono::seconds(60)));
+}
