--- a/src/operators/configuration.cpp
+++ b/src/operators/configuration.cpp
@@ -109,9 +109,11 @@
     report_duplicates("kind", kinds, reasons);
     report_duplicate_routes(routes, reasons);
     report_dangling_references(services, kinds, routes, reasons);
-    if (max_timeout <= core::milliseconds::zero())
+    if (max_timeout <= core::milliseconds::zero()
+        || max_timeout > longest_max_timeout)
     {
-        reasons.push_back(fault("max_timeout_ms", "is not positive"));
+        reasons.push_back(
+            fault("max_timeout_ms", "is not between 1 and 60000"));
     }
     if (reasons.size() != faults_before)
     {
--- a/src/operators/configuration.hpp
+++ b/src/operators/configuration.hpp
@@ -18,6 +18,11 @@
 /// whose response was lost can find out whether it took effect.
 inline constexpr std::size_t remembered_patches = 64;
 
+/// Longest time limit that can be allowed to callers. Claims last 10 min and a
+/// request must have ended long before its claim expires, or the same id could
+/// run again beside it.
+inline constexpr core::milliseconds longest_max_timeout{ 60000 };
+
 /// One numbered version of everything that operators declare.
 class configuration {
 public:
--- a/tests/operators/configuration_json_test.cpp
+++ b/tests/operators/configuration_json_test.cpp
@@ -63,6 +63,9 @@
     CHECK_THAT(faults_of(replaced("\"patches\"", "\"patchez\"")),
         Contains("/patchez is not a known key")
             || Contains("/patchez: is not a known key"));
+    CHECK_THAT(faults_of(replaced(
+                   "\"max_timeout_ms\": 1000", "\"max_timeout_ms\": 600000")),
+        Contains("max_timeout_ms"));
     CHECK_THAT(faults_of("[]"), Contains("is not an object"));
     CHECK_THAT(faults_of("{"), Contains("not valid JSON"));
 }
