--- a/bench/flood_driver/flood_driver.cpp
+++ b/bench/flood_driver/flood_driver.cpp
@@ -37,6 +37,7 @@
     {
         std::vector<std::vector<flood_counts>> all(seeds);
         std::vector<std::jthread> pool;
+        pool.reserve(threads);
         for (int t = 0; t < threads; ++t)
         {
             pool.emplace_back([&, t] {
@@ -109,8 +110,10 @@
                 std::printf("%c%zu %-5s %-10s %9lld %8.2f %8.2f\n", scenario,
                     phase, policy, names[k],
                     static_cast<long long>(each.offered),
-                    percent(each.in_time, each.offered),
-                    percent(each.refused_at_once, each.offered));
+                    percent(static_cast<double>(each.in_time),
+                        static_cast<double>(each.offered)),
+                    percent(static_cast<double>(each.refused_at_once),
+                        static_cast<double>(each.offered)));
             }
         }
         std::printf("%c%zu %-5s others keep %.1f %% (target 90); attempts per "
