Race a second exchange against a silent pooled connection

Cause: an idempotent request that a worker took longer than the progress limit to answer was cut as silent, also on a fresh connection, so that it failed or ran twice. Change: only the deadline cuts an exchange. Beside an idempotent request that is silent on a pooled connection, a second exchange on a fresh one is started if the budget pays. The first answer is used; the other exchange is cancelled and its connection closed. dispatch_state::forget_except drops the entries of workers that are no longer listed. Conclusion: slow answers are no longer cut.

--- a/src/upstream/attempt_result.hpp
+++ b/src/upstream/attempt_result.hpp
@@ -20,7 +20,8 @@
     broken_after_send,
     /// The deadline passed after the request was sent.
     timed_out,
-    /// The connection made no progress within the progress limit.
+    /// A pooled connection made no progress within the progress limit. No
+    /// exchange ends with it: it asks for a second exchange beside the first.
     silent,
     /// The caller went away and the attempt was cancelled after the send.
     cancelled
--- a/src/upstream/attempt_runner.hpp
+++ b/src/upstream/attempt_runner.hpp
@@ -77,9 +77,11 @@
     {
     }
 
-    /// Runs the request. If an idle connection turns out to be closed or
-    /// silent, the request is repeated on a fresh one to the same worker where
-    /// that cannot run a non-idempotent request twice.
+    /// Runs the request. If an idle connection turns out to be closed, the
+    /// request is repeated on a fresh one to the same worker where that cannot
+    /// run a non-idempotent request twice. If it is silent past the progress
+    /// limit, an idempotent request is also sent on a fresh one, where the
+    /// budget pays, and the first answer is used.
     boost::asio::awaitable<attempt_outcome> run(
         const worker& who, const forward_request& request);
 
@@ -90,8 +92,16 @@
     }
 
 private:
+    struct race;
+
     boost::asio::awaitable<attempt_outcome> run_fresh(
         connection_lease& lease, const forward_request& request);
+    boost::asio::awaitable<attempt_outcome> run_reused(const worker& who,
+        connection_lease& lease, const forward_request& request);
+    boost::asio::awaitable<void> run_first(race& both);
+    boost::asio::awaitable<void> run_second(race& both);
+    bool start_second(race& both);
+    attempt_outcome conclude(race& both);
     boost::asio::awaitable<attempt_outcome> repeat(connection_lease& lease,
         const forward_request& request, exchange_result first);
 
--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -60,6 +60,35 @@
     }
 }
 
+std::optional<connection_lease> connection_pool::acquire_fresh(
+    const worker& who, int allowance)
+{
+    connection displaced;
+    const bool has_place = this->entries.visit(
+        who.get_id(), [] { return worker_entry(); },
+        [&](worker_entry& entry) {
+            if (entry.open < allowance)
+            {
+                ++entry.open;
+                return true;
+            }
+            if (entry.idle.empty())
+            {
+                return false;
+            }
+            displaced = std::move(entry.idle.front().held);
+            entry.idle.erase(entry.idle.begin());
+            return true;
+        });
+    if (!has_place)
+    {
+        return std::nullopt;
+    }
+    return std::make_optional<connection_lease>(*this, who.get_id(),
+        std::make_shared<worker_connection>(this->executor, who.get_address()),
+        false);
+}
+
 std::vector<connection_pool::idle_connection> connection_pool::take_idle(
     const core::worker_id& who, core::time_point idle_before)
 {
--- a/src/upstream/connection_pool.hpp
+++ b/src/upstream/connection_pool.hpp
@@ -30,6 +30,12 @@
     std::optional<connection_lease> acquire(
         const worker& who, int allowance, core::time_point now);
 
+    /// A connection to the worker that is new and not connected. If `allowance`
+    /// connections are open, the one that was idle longest gives up its place;
+    /// nothing if none is idle.
+    std::optional<connection_lease> acquire_fresh(
+        const worker& who, int allowance);
+
     /// Closes the idle connections to a worker.
     void drop_idle(const core::worker_id& who);
 
--- a/src/upstream/dispatch_state.cpp
+++ b/src/upstream/dispatch_state.cpp
@@ -3,6 +3,7 @@
 #include "upstream/retry_policy.hpp"
 
 #include <algorithm>
+#include <unordered_set>
 #include <utility>
 
 namespace pollenward::upstream {
@@ -64,6 +65,20 @@
         });
 }
 
+void dispatch_state::forget_except(const std::vector<core::worker_id>& listed)
+{
+    const std::unordered_set<core::worker_id> kept(
+        listed.begin(), listed.end());
+    // A request in flight still has to be counted off its entry.
+    this->activities.erase_if(
+        [&](const core::worker_id& who, const worker_activity& each) {
+            return each.get_in_flight() == 0 && kept.count(who) == 0;
+        });
+    this->drains.erase_if([&](const core::worker_id& who, const drain_state&) {
+        return kept.count(who) == 0;
+    });
+}
+
 std::vector<core::worker_id> dispatch_state::draining_workers(
     core::time_point now) const
 {
--- a/src/upstream/dispatch_state.hpp
+++ b/src/upstream/dispatch_state.hpp
@@ -35,6 +35,10 @@
         const core::worker_id& who, drain_source source, core::time_point now);
     void record_load(const core::worker_id& who, double hinted_load);
 
+    /// Drops what is known of workers that are not listed, unless requests are
+    /// in flight on them.
+    void forget_except(const std::vector<core::worker_id>& listed);
+
     /// Workers that said to this daemon that they are leaving.
     std::vector<core::worker_id> draining_workers(core::time_point now) const;
 
--- a/src/upstream/worker_connection.cpp
+++ b/src/upstream/worker_connection.cpp
@@ -120,8 +120,15 @@
     co_return true;
 }
 
-attempt_result worker_connection::failure_kind(const io_watchdog& watchdog,
-    core::time_point deadline, bool is_cancelled) const
+void worker_connection::close()
+{
+    this->reusable = false;
+    boost::system::error_code ignored;
+    this->socket.close(ignored);
+}
+
+attempt_result worker_connection::failure_kind(
+    const io_watchdog& watchdog, bool is_cancelled) const
 {
     if (this->written == 0)
     {
@@ -131,12 +138,8 @@
     {
         return attempt_result::cancelled;
     }
-    if (!watchdog.has_expired())
-    {
-        return attempt_result::broken_after_send;
-    }
-    return core::runtime_clock::now() < deadline ? attempt_result::silent
-                                                 : attempt_result::timed_out;
+    return watchdog.has_expired() ? attempt_result::timed_out
+                                  : attempt_result::broken_after_send;
 }
 
 asio::awaitable<boost::system::error_code> worker_connection::write(
@@ -160,6 +163,12 @@
             = co_await this->socket.async_write_some(rest, token);
         this->written += count;
         rest.consume(count);
+        this->last_progress = core::runtime_clock::now();
+        const auto state = co_await asio::this_coro::cancellation_state;
+        if (!failure && is_cancelled(state))
+        {
+            co_return asio::error::operation_aborted;
+        }
         if (failure)
         {
             co_return failure;
@@ -176,23 +185,17 @@
     parser.eager(true);
     parser.body_limit(max_response_body);
     parser.skip(request.get_message().get_method() == "HEAD");
-    const core::time_point deadline = request.get_deadline();
-    const auto limit = progress_limit(deadline, core::runtime_clock::now());
     while (!parser.is_done())
     {
-        if (request.is_idempotent())
-        {
-            watchdog.set_expiry(
-                std::min(deadline, core::runtime_clock::now() + limit));
-        }
         auto [failure, count] = co_await http::async_read_some(
             this->socket, buffer, parser, token);
         this->response_started = this->response_started || count > 0;
-        if (failure || watchdog.has_expired())
+        this->last_progress = core::runtime_clock::now();
+        const auto state = co_await asio::this_coro::cancellation_state;
+        const bool is_cut = is_cancelled(state) && !parser.is_done();
+        if (failure || watchdog.has_expired() || is_cut)
         {
-            const auto state = co_await asio::this_coro::cancellation_state;
-            const auto kind
-                = this->failure_kind(watchdog, deadline, is_cancelled(state));
+            const auto kind = this->failure_kind(watchdog, is_cancelled(state));
             co_return this->failed(kind, failure.message());
         }
     }
@@ -220,16 +223,15 @@
     this->response_ended = false;
     this->answered_early = false;
     this->written = 0;
-    const core::time_point deadline = request.get_deadline();
+    this->last_progress = core::runtime_clock::now();
     io_watchdog watchdog(this->socket, co_await asio::this_coro::executor);
-    watchdog.set_expiry(deadline);
+    watchdog.set_expiry(request.get_deadline());
     const auto write_failure = co_await this->write(request);
     exchange_result result;
     if (write_failure || watchdog.has_expired())
     {
         const auto state = co_await asio::this_coro::cancellation_state;
-        result = this->failed(
-            this->failure_kind(watchdog, deadline, is_cancelled(state)),
+        result = this->failed(this->failure_kind(watchdog, is_cancelled(state)),
             write_failure.message());
     }
     else
@@ -238,8 +240,7 @@
     }
     if (!this->reusable)
     {
-        boost::system::error_code ignored;
-        this->socket.close(ignored);
+        this->close();
     }
     co_return result;
 }
@@ -249,8 +250,7 @@
 {
     auto result = co_await this->exchange_once(request);
     const auto kind = result.get_result();
-    if (kind == attempt_result::cancelled || kind == attempt_result::timed_out
-        || kind == attempt_result::silent)
+    if (kind == attempt_result::cancelled || kind == attempt_result::timed_out)
     {
         spawn_cancel(this->executor, this->remote, request.get_id());
     }
--- a/src/upstream/worker_connection.hpp
+++ b/src/upstream/worker_connection.hpp
@@ -18,7 +18,7 @@
 class io_watchdog;
 
 /// Time without any progress after which an exchange counts as silent: 1 s or
-/// a third of the time to the deadline.
+/// a third of the time to the deadline. It also bounds a connect.
 core::duration progress_limit(core::time_point deadline, core::time_point now);
 
 /// One connection to a worker. It carries one exchange at a time, and after an
@@ -35,9 +35,9 @@
         core::time_point deadline, core::error& reason);
 
     /// Sends the request and reads the whole response. When the caller cancels
-    /// or the deadline passes after the send, the worker is told to cancel. No
-    /// operation is started after a cancellation, so that the caller's
-    /// coroutine may go on without waiting.
+    /// or the deadline passes after the send, the worker is told to cancel.
+    /// Only the deadline bounds it. No operation is started after a
+    /// cancellation, so that the caller's coroutine may go on without waiting.
     boost::asio::awaitable<exchange_result> exchange(
         const forward_request& request);
 
@@ -51,6 +51,12 @@
     /// the last exchange ended with a whole response and nothing after it.
     bool is_reusable() const { return this->reusable; }
 
+    /// Makes the connection unusable for further exchanges.
+    void close();
+
+    /// When the last exchange began or last moved any byte.
+    core::time_point get_last_progress() const { return this->last_progress; }
+
     /// Whether any byte of a response to the last request was read.
     bool has_response_bytes() const { return this->response_started; }
 
@@ -67,13 +73,14 @@
     boost::asio::awaitable<exchange_result> read(
         const forward_request& request, io_watchdog& watchdog);
     exchange_result failed(attempt_result result, std::string cause) const;
-    attempt_result failure_kind(const io_watchdog& watchdog,
-        core::time_point deadline, bool is_cancelled) const;
+    attempt_result failure_kind(
+        const io_watchdog& watchdog, bool is_cancelled) const;
 
     boost::asio::any_io_executor executor;
     boost::asio::ip::tcp::socket socket;
     core::endpoint remote;
     std::size_t written = 0;
+    core::time_point last_progress;
     bool reusable = false;
     bool response_started = false;
     bool response_ended = false;
--- a/tests/upstream/attempt_runner_test.cpp
+++ b/tests/upstream/attempt_runner_test.cpp
@@ -4,25 +4,43 @@
 
 #include <catch2/catch.hpp>
 
+#include <optional>
+#include <vector>
+
 using namespace pollenward;
 using namespace pollenward::upstream;
 using namespace pollenward::upstream::testing;
 
 namespace {
 
-/// A pool and a runner with a budget for a few repetitions.
+/// A pool and a runner with a budget of a tenth of the earlier requests.
 class runner_fixture {
 public:
-    explicit runner_fixture(asio::io_context& context)
+    explicit runner_fixture(asio::io_context& context, int earlier = 30)
         : pool(context.get_executor())
         , runner(pool, state)
     {
-        for (int i = 0; i < 30; ++i)
+        for (int i = 0; i < earlier; ++i)
         {
             this->state.count_request(make_request("earlier", true));
         }
     }
 
+    /// Leaves connections in the pool that look fit for reuse; the one that
+    /// was opened last is used first.
+    void add_idle(asio::io_context& context, const worker& who, int count)
+    {
+        std::vector<connection_lease> leases;
+        core::error reason;
+        for (int i = 0; i < count; ++i)
+        {
+            leases.push_back(*this->pool.acquire_fresh(who, count + 1));
+            REQUIRE(run_to_end(context,
+                leases.back().get_connection().connect(
+                    core::runtime_clock::now() + core::seconds(1), reason)));
+        }
+    }
+
     connection_pool pool;
     dispatch_state state;
     attempt_runner runner;
@@ -91,6 +109,161 @@
     CHECK(fixture.runner.count_faulty_connections() == 1);
 }
 
+// Guards against cutting or repeating a request that a healthy worker takes
+// longer than the progress limit to answer, and against exchanges that the
+// budget did not pay for.
+TEST_CASE("a slow answer is waited for", "[upstream]")
+{
+    const auto [is_idempotent, is_reused, is_paid] = GENERATE(
+        table<bool, bool, bool>({ { true, false, true }, { true, true, false },
+            { true, true, true }, { false, true, true } }));
+    const bool is_doubled = is_idempotent && is_reused && is_paid;
+    paused_clock clock;
+    asio::io_context context;
+    runner_fixture fixture(context, is_paid ? 10 : 9);
+    event second_sent(context);
+    event cancelled(context);
+    int open_at_answer = 0;
+    scripted_worker server(
+        context, [&](tcp::socket& socket, int number) -> asio::awaitable<void> {
+            const auto header = co_await read_header(socket);
+            if (header.find("/cancel/b") != std::string::npos)
+            {
+                cancelled.set();
+            }
+            else if (number > 1)
+            {
+                second_sent.set();
+                co_await read_header(socket);
+            }
+            else
+            {
+                // Timers fire in order, so that the one of the progress limit,
+                // if there is one, has fired before this one.
+                const auto limit
+                    = core::runtime_clock::now() + core::milliseconds(1100);
+                clock.advance(context, core::milliseconds(1100));
+                co_await core::wait_until(limit);
+                if (is_doubled)
+                {
+                    co_await second_sent.wait();
+                }
+                clock.advance(context, core::milliseconds(400));
+                open_at_answer
+                    = fixture.pool.count_open(core::worker_id("worker"));
+                co_await send_text(socket, answer_text("b"));
+                co_await read_header(socket);
+            }
+        });
+    const auto who = server.get_worker();
+    fixture.add_idle(context, who, is_reused ? 1 : 0);
+    const auto request = make_request("b", is_idempotent, core::seconds(5));
+    const auto run = [&]() -> asio::awaitable<attempt_outcome> {
+        auto outcome = co_await fixture.runner.run(who, request);
+        if (is_doubled)
+        {
+            co_await cancelled.wait();
+        }
+        co_return outcome;
+    };
+    const auto outcome = run_to_end(context, run());
+    REQUIRE(outcome.get_last().get_response());
+    CHECK(outcome.get_last().get_response()->get_body() == "b");
+    CHECK(outcome.get_evidence() == attempt_result::answered);
+    CHECK(open_at_answer == (is_doubled ? 2 : 1));
+    CHECK(fixture.pool.count_open(who.get_id()) == 1);
+    CHECK(fixture.runner.count_faulty_connections() == 0);
+    CHECK(fixture.state.take_budget(
+              make_request("c", true), core::runtime_clock::now())
+        == (is_paid && !is_doubled));
+}
+
+// Guards against the late answer of the slower of two exchanges reaching the
+// next request, and against idle connections that died with a silent one or
+// pass the allowance.
+TEST_CASE("the loser of two exchanges is never used again", "[upstream]")
+{
+    paused_clock clock;
+    asio::io_context context;
+    runner_fixture fixture(context);
+    event won(context);
+    event late(context);
+    int open_beside = 0;
+    scripted_worker server(
+        context, [&](tcp::socket& socket, int number) -> asio::awaitable<void> {
+            const auto header = co_await read_header(socket);
+            if (number == 3)
+            {
+                clock.advance(context, core::milliseconds(1100));
+                co_await won.wait();
+                co_await send_text(socket, answer_text("b"));
+                late.set();
+            }
+            else if (number == 4)
+            {
+                open_beside
+                    = fixture.pool.count_open(core::worker_id("worker"));
+                co_await send_text(socket, answer_text(id_in(header)));
+                co_await answer_all(socket);
+            }
+        });
+    const auto who = server.get_worker();
+    fixture.state.store_terms(core::service_id("service"),
+        service_terms::make(core::slot_count(3), core::slot_count(3), 1, {}));
+    fixture.add_idle(context, who, 3);
+    const auto outcome
+        = run_to_end(context, fixture.runner.run(who, make_request("b", true)));
+    REQUIRE(outcome.get_last().get_response());
+    CHECK(outcome.get_evidence() == attempt_result::answered);
+    CHECK(open_beside == 3);
+    CHECK(fixture.pool.count_open(who.get_id()) == 1);
+    CHECK(fixture.runner.count_faulty_connections() == 1);
+    won.set();
+    const auto run_next = [&]() -> asio::awaitable<attempt_outcome> {
+        co_await late.wait();
+        co_return co_await fixture.runner.run(who, make_request("c", true));
+    };
+    const auto next = run_to_end(context, run_next());
+    REQUIRE(next.get_last().get_response());
+    CHECK(next.get_last().get_response()->get_body() == "c");
+}
+
+// Guards against blaming a worker for a pooled connection alone, and against
+// sparing one that also leaves a fresh connection without an answer.
+TEST_CASE("a request without any answer ends at its deadline", "[upstream]")
+{
+    const auto [is_reused, is_paid] = GENERATE(table<bool, bool>(
+        { { false, true }, { true, false }, { true, true } }));
+    paused_clock clock;
+    asio::io_context context;
+    runner_fixture fixture(context, is_paid ? 10 : 0);
+    event second_sent(context);
+    scripted_worker server(
+        context, [&](tcp::socket& socket, int number) -> asio::awaitable<void> {
+            co_await read_header(socket);
+            if (number == 1)
+            {
+                clock.advance(context, core::milliseconds(1100));
+                if (is_reused && is_paid)
+                {
+                    co_await second_sent.wait();
+                }
+                clock.advance(context, core::seconds(4));
+            }
+            second_sent.set();
+            co_await read_header(socket);
+        });
+    const auto who = server.get_worker();
+    fixture.add_idle(context, who, is_reused ? 1 : 0);
+    const auto outcome = run_to_end(context,
+        fixture.runner.run(who, make_request("b", true, core::seconds(5))));
+    CHECK(outcome.get_last().get_result() == attempt_result::timed_out);
+    CHECK(outcome.get_certainty() == run_certainty::unknown);
+    CHECK(outcome.get_evidence()
+        == (is_paid ? std::optional(attempt_result::timed_out) : std::nullopt));
+    CHECK(fixture.pool.count_open(who.get_id()) == 0);
+}
+
 // Guards against a second run over a pooled connection: once a byte was
 // written, only an idempotent request is repeated.
 TEST_CASE("a broken pooled connection repeats only safely", "[upstream]")
--- a/tests/upstream/scripted_worker.hpp
+++ b/tests/upstream/scripted_worker.hpp
@@ -151,6 +151,35 @@
     return std::move(*result);
 }
 
+/// Something that one coroutine of a test waits for and another one does.
+class event {
+public:
+    explicit event(asio::io_context& context)
+        : timer(context, core::time_point::max())
+    {
+    }
+
+    void set()
+    {
+        this->happened = true;
+        this->timer.cancel();
+    }
+
+    asio::awaitable<void> wait()
+    {
+        boost::system::error_code ignored;
+        if (!this->happened)
+        {
+            co_await this->timer.async_wait(
+                asio::redirect_error(asio::use_awaitable, ignored));
+        }
+    }
+
+private:
+    core::runtime_timer timer;
+    bool happened = false;
+};
+
 /// Pauses the runtime's clock for one test.
 class paused_clock {
 public:
