--- a/tests/upstream/attempt_runner_test.cpp
+++ b/tests/upstream/attempt_runner_test.cpp
@@ -228,6 +228,42 @@
     CHECK(next.get_last().get_response()->get_body() == "c");
 }
 
+// Guards against giving up a request that the worker still runs because it
+// refuses the second exchange.
+TEST_CASE("a refused second exchange does not end the first", "[upstream]")
+{
+    paused_clock clock;
+    asio::io_context context;
+    runner_fixture fixture(context);
+    event refused(context);
+    scripted_worker server(
+        context, [&](tcp::socket& socket, int number) -> asio::awaitable<void> {
+            co_await read_header(socket);
+            if (number == 1)
+            {
+                clock.advance(context, core::milliseconds(1100));
+                co_await refused.wait();
+                co_await send_text(socket, answer_text("b"));
+            }
+            else
+            {
+                co_await send_text(socket,
+                    "HTTP/1.1 503 x\r\nWorker-State: shed\r\n"
+                    "Connection: close\r\nContent-Length: 0\r\n\r\n");
+                // The dispatcher closes the connection once it has read this.
+                co_await read_header(socket);
+                refused.set();
+            }
+        });
+    const auto who = server.get_worker();
+    fixture.add_idle(context, who, 1);
+    const auto outcome
+        = run_to_end(context, fixture.runner.run(who, make_request("b", true)));
+    REQUIRE(outcome.get_last().get_response());
+    CHECK(outcome.get_last().get_response()->get_body() == "b");
+    CHECK(outcome.get_evidence() == attempt_result::answered);
+}
+
 // Guards against blaming a worker for a pooled connection alone, and against
 // sparing one that also leaves a fresh connection without an answer.
 TEST_CASE("a request without any answer ends at its deadline", "[upstream]")
