Replace connections between daemons that went silent

Cause: nng keeps a connection for as long as TCP does. After a firewall lost track of the one connection to a peer, each exchange with it timed out until the socket was idle for 60 s, which pings prevent. The peer stayed suspect. Change: an exchange that times out, with no reply on its socket since it began, retires the socket; the next exchange dials anew. The idle thread closes retired sockets once no exchange uses them, since nng_close blocks. Test: 'a connection that went silent is replaced' fails without the rule (60 exchanges, no reply) and passes with it in 0.5 s, in release.

A daemon can also advertise a fleet endpoint other than the one it binds (fleet.advertised), for hosts behind address translation and for tests that put a relay in front of a daemon.

--- a/src/fleet/nng_client.hpp
+++ b/src/fleet/nng_client.hpp
@@ -11,6 +11,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -51,10 +52,13 @@
     nng_socket get_socket() const { return this->socket; }
     void touch(core::time_point now) { this->last_used.store(now); }
     core::time_point get_last_used() const { return this->last_used.load(); }
+    void note_reply() { ++this->replies; }
+    std::uint64_t count_replies() const { return this->replies.load(); }
 
 private:
     nng_socket socket = NNG_SOCKET_INITIALIZER;
     std::atomic<core::time_point> last_used;
+    std::atomic<std::uint64_t> replies{ 0 };
 };
 
 /// Called once, on a thread of nng or of the caller: an nng error number and
--- a/src/fleet/nng_transport.cpp
+++ b/src/fleet/nng_transport.cpp
@@ -151,14 +151,22 @@
     }
     const auto traffic = this->traffic;
     traffic->sent.add(content.index(), request.size());
+    auto link = this->peer_of(peer);
+    const auto replies_before = link->count_replies();
     const auto result = co_await exchange_bytes(
-        this->peer_of(peer), std::move(request), this->timeout, this->flights);
+        link, std::move(request), this->timeout, this->flights);
     if (result.failure != 0)
     {
+        if (result.failure == NNG_ETIMEDOUT
+            && link->count_replies() == replies_before)
+        {
+            this->retire(peer, std::move(link));
+        }
         reason
             = core::error::make(step, peer.str(), nng_strerror(result.failure));
         co_return std::nullopt;
     }
+    link->note_reply();
     auto reply = decode_message(result.reply, peer.str(), reason);
     if (!reply)
     {
@@ -174,13 +182,44 @@
     auto found = this->peers.find(address);
     if (!found)
     {
-        this->peers.insert(address, std::make_shared<nng_peer>(address));
-        found = this->peers.find(address);
+        const auto made = std::make_shared<nng_peer>(address);
+        found = this->peers.update(address,
+            [&](const auto& present) { return present.value_or(made); });
     }
     (*found)->touch(core::runtime_clock::now());
     return *found;
 }
 
+void nng_transport::retire(
+    const core::endpoint& address, std::shared_ptr<nng_peer> peer)
+{
+    this->peers.update(address, [&](const auto& present) {
+        return present == peer ? std::nullopt : present;
+    });
+    const std::lock_guard lock(this->idle_mutex);
+    this->retired.push_back(std::move(peer));
+    this->has_new_retired = true;
+    this->idle_wait.notify_one();
+}
+
+void nng_transport::close_retired(std::unique_lock<std::mutex>& lock)
+{
+    std::vector<std::shared_ptr<nng_peer>> closing;
+    std::erase_if(this->retired, [&](auto& peer) {
+        // Only exchanges in flight hold other references; none is added.
+        const bool is_unused = peer.use_count() == 1;
+        if (is_unused)
+        {
+            closing.push_back(std::move(peer));
+        }
+        return is_unused;
+    });
+    this->has_new_retired = false;
+    lock.unlock();
+    closing.clear();
+    lock.lock();
+}
+
 std::size_t nng_transport::close_idle(core::time_point now)
 {
     std::vector<std::shared_ptr<nng_peer>> closing;
@@ -200,9 +239,12 @@
     std::unique_lock lock(this->idle_mutex);
     while (!stop.stop_requested())
     {
-        this->idle_wait.wait_for(
-            lock, stop, idle_check_interval, [] { return false; });
+        this->idle_wait.wait_for(lock, stop, idle_check_interval,
+            [this] { return this->has_new_retired; });
+        this->close_retired(lock);
+        lock.unlock();
         this->close_idle(core::runtime_clock::now());
+        lock.lock();
     }
 }
 
@@ -215,6 +257,7 @@
     }
     this->flights->close();
     this->server->close();
+    this->retired.clear();
     this->peers.erase_if([](const auto&, const auto&) { return true; });
 }
 
--- a/src/fleet/nng_transport.hpp
+++ b/src/fleet/nng_transport.hpp
@@ -20,6 +20,7 @@
 #include <optional>
 #include <stop_token>
 #include <thread>
+#include <vector>
 
 namespace pollenward::fleet {
 
@@ -84,6 +85,10 @@
     };
 
     std::shared_ptr<nng_peer> peer_of(const core::endpoint& address);
+    /// Replaces a socket whose connection went silent: nng keeps such a
+    /// connection for as long as TCP does.
+    void retire(const core::endpoint& address, std::shared_ptr<nng_peer> peer);
+    void close_retired(std::unique_lock<std::mutex>& lock);
     static boost::asio::awaitable<encoded_message> answer(
         std::shared_ptr<const message_handler> handler,
         std::shared_ptr<counters> traffic, encoded_message request);
@@ -95,6 +100,9 @@
     core::sharded_map<core::endpoint, std::shared_ptr<nng_peer>> peers;
     std::unique_ptr<nng_server> server;
     std::mutex idle_mutex;
+    /// Peers to close once no exchange uses them; under `idle_mutex`.
+    std::vector<std::shared_ptr<nng_peer>> retired;
+    bool has_new_retired = false;
     std::condition_variable_any idle_wait;
     std::jthread idle_thread;
 };
--- a/src/main/fleet_port.cpp
+++ b/src/main/fleet_port.cpp
@@ -29,8 +29,9 @@
 fleet_port::fleet_port(asio::io_context& context, const settings& chosen,
     core::incarnation_number incarnation)
     : context(context)
-    , identity(fleet::member::make(chosen.get_id(), chosen.get_fleet_endpoint(),
-          chosen.get_zone(), incarnation))
+    , listener(chosen.get_fleet_endpoint())
+    , identity(fleet::member::make(chosen.get_id(),
+          chosen.get_advertised_endpoint(), chosen.get_zone(), incarnation))
     , transport(context.get_executor())
 {
 }
@@ -40,7 +41,7 @@
 bool fleet_port::start(document_board& board, message_router& router,
     const std::vector<core::endpoint>& seeds, core::error& reason)
 {
-    if (!this->transport.listen(this->identity.get_address(), reason))
+    if (!this->transport.listen(this->listener, reason))
     {
         return false;
     }
--- a/src/main/fleet_port.hpp
+++ b/src/main/fleet_port.hpp
@@ -71,6 +71,7 @@
     struct joined_node;
 
     boost::asio::io_context& context;
+    core::endpoint listener;
     fleet::member identity;
     fleet::nng_transport transport;
     std::unique_ptr<joined_node> joined;
--- a/src/main/settings.cpp
+++ b/src/main/settings.cpp
@@ -79,6 +79,14 @@
             return this->to_endpoint(*node, section, key);
         }
 
+        core::endpoint read_endpoint(const char* section, const char* key,
+            const core::endpoint& fallback)
+        {
+            const toml::node* node = this->find(section, key, false);
+            return node == nullptr ? fallback
+                                   : this->to_endpoint(*node, section, key);
+        }
+
         std::vector<core::endpoint> read_endpoints(
             const char* section, const char* key)
         {
@@ -277,6 +285,8 @@
     made.operator_endpoint = reader.read_endpoint("listen", "operators");
     made.fleet_endpoint = reader.read_endpoint("listen", "fleet");
     made.platform_endpoint = reader.read_endpoint("platform", "endpoint");
+    made.advertised_endpoint
+        = reader.read_endpoint("fleet", "advertised", made.fleet_endpoint);
     made.seeds = reader.read_endpoints("fleet", "seeds");
     reader.report_clashes({ { "listen.callers", made.caller_endpoint },
         { "listen.operators", made.operator_endpoint },
--- a/src/main/settings.hpp
+++ b/src/main/settings.hpp
@@ -48,6 +48,13 @@
         return this->fleet_endpoint;
     }
 
+    /// Fleet endpoint that the other daemons use: the one that is bound, unless
+    /// this host is reached by another address.
+    const core::endpoint& get_advertised_endpoint() const
+    {
+        return this->advertised_endpoint;
+    }
+
     const core::endpoint& get_platform_endpoint() const
     {
         return this->platform_endpoint;
@@ -68,6 +75,7 @@
     core::endpoint caller_endpoint;
     core::endpoint operator_endpoint;
     core::endpoint fleet_endpoint;
+    core::endpoint advertised_endpoint;
     core::endpoint platform_endpoint;
     std::vector<core::endpoint> seeds;
 };
--- a/tests/fleet/nng_transport_test.cpp
+++ b/tests/fleet/nng_transport_test.cpp
@@ -5,9 +5,12 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <thread>
 #include <vector>
 
@@ -146,6 +149,37 @@
     CHECK(reply == question);
 }
 
+// Guards against a peer that stays unreachable because the one connection to
+// it went silent, while new connections work.
+TEST_CASE("a connection that went silent is replaced", "[fleet]")
+{
+    using boost::asio::ip::tcp;
+    running_context running;
+    nng_transport client(running.executor());
+    boost::asio::io_context context;
+    tcp::acceptor acceptor(
+        context, { boost::asio::ip::address_v4::loopback(), 0 });
+    const auto address = loopback(acceptor.local_endpoint().port());
+    core::error reason;
+    auto first = boost::asio::co_spawn(running.executor(),
+        client.exchange(address, question, reason), boost::asio::use_future);
+    tcp::socket silent = acceptor.accept();
+    // nng drops a connection that does not greet; this one greets as rep0.
+    constexpr std::array<char, 8> greeting{ 0, 'S', 'P', 0, 0, 49, 0, 0 };
+    boost::asio::write(silent, boost::asio::buffer(greeting));
+    CHECK_FALSE(first.get());
+    acceptor.close();
+    nng_transport server(running.executor());
+    REQUIRE(server.listen(address, reason));
+    server.serve(echo);
+    std::optional<message> reply;
+    for (int tries = 0; tries < 60 && !reply; ++tries)
+    {
+        reply = running.ask(client, address, question, reason);
+    }
+    CHECK(reply == question);
+}
+
 // Guards against large documents that are cut, and against messages beyond
 // the limit that take the connection down.
 TEST_CASE("messages have a size limit", "[fleet]")
