Add process tests of partitions and silent connections

The cluster of the process tests can put relays in front of daemons, of the platform as each daemon sees it, and of workers. New tests: a daemon whose replies are lost, daemons cut off from each other, a worker whose connections went silent, a worker whose replies are lost, and a patch during a cut. The load of casts and the sending of patches move to headers that test files share.

--- a/tests/process/cluster.cpp
+++ b/tests/process/cluster.cpp
@@ -16,6 +16,7 @@
     using nlohmann::json;
 
     constexpr int ports_per_daemon = 3;
+    constexpr int ports_per_link = 2;
 
     /// Ports that are free now; all are held until the last one is found.
     std::vector<std::uint16_t> find_free_ports(int count)
@@ -83,7 +84,8 @@
 cluster::cluster(const cluster_plan& plan)
     : plan(plan)
     , folder(make_folder())
-    , ports(find_free_ports(1 + plan.workers + plan.daemons * ports_per_daemon))
+    , ports(find_free_ports(1 + plan.workers + plan.daemons * ports_per_daemon
+          + (2 * plan.daemons + plan.workers) * ports_per_link))
 {
 }
 
@@ -92,6 +94,7 @@
     this->daemons.clear();
     this->workers.clear();
     this->platforms.clear();
+    this->links.clear();
     std::error_code ignored;
     std::filesystem::remove_all(this->folder, ignored);
 }
@@ -121,6 +124,39 @@
     return this->ports.at(3 + this->plan.workers + daemon * ports_per_daemon);
 }
 
+std::uint16_t cluster::link_port(int link) const
+{
+    return this->ports.at(1 + this->plan.workers
+        + this->plan.daemons * ports_per_daemon + link * ports_per_link);
+}
+
+std::uint16_t cluster::link_admin_port(int link) const
+{
+    return this->ports.at(2 + this->plan.workers
+        + this->plan.daemons * ports_per_daemon + link * ports_per_link);
+}
+
+std::uint16_t cluster::fleet_address(int daemon) const
+{
+    return this->plan.has_daemon_links
+        ? this->link_port(this->daemon_link(daemon))
+        : this->fleet_port(daemon);
+}
+
+std::uint16_t cluster::worker_address(int worker) const
+{
+    return this->plan.has_worker_links
+        ? this->link_port(this->worker_link(worker))
+        : this->worker_port(worker);
+}
+
+std::uint16_t cluster::platform_address(int daemon) const
+{
+    return this->plan.has_daemon_links
+        ? this->link_port(this->platform_link(daemon))
+        : this->platform_port();
+}
+
 std::string cluster::log_file(const std::string& name) const
 {
     return this->folder + "/" + name + ".log";
@@ -138,12 +174,12 @@
     for (int i = 0; i < this->plan.daemons; ++i)
     {
         objects["hosts/fleet"].push_back(
-            row("daemon-" + std::to_string(i), this->fleet_port(i), i));
+            row("daemon-" + std::to_string(i), this->fleet_address(i), i));
     }
     for (int i = 0; i < this->plan.workers; ++i)
     {
         objects["hosts/ballots"].push_back(
-            row("worker-" + std::to_string(i), this->worker_port(i), i));
+            row("worker-" + std::to_string(i), this->worker_address(i), i));
     }
     const std::string file = this->folder + "/objects.json";
     std::ofstream(file) << objects.dump();
@@ -161,16 +197,28 @@
         << "callers = \"" << local(this->caller_port(number))
         << "\"\noperators = \"" << local(this->admin_port(number))
         << "\"\nfleet = \"" << local(this->fleet_port(number))
-        << "\"\n[platform]\nendpoint = \"" << local(this->platform_port())
-        << "\"\n[fleet]\nseeds = [";
+        << "\"\n[platform]\nendpoint = \""
+        << local(this->platform_address(number))
+        << "\"\n[fleet]\nadvertised = \"" << local(this->fleet_address(number))
+        << "\"\nseeds = [";
     for (int i = 0; i < this->plan.daemons; ++i)
     {
-        out << (i == 0 ? "" : ", ") << '"' << local(this->fleet_port(i)) << '"';
+        out << (i == 0 ? "" : ", ") << '"' << local(this->fleet_address(i))
+            << '"';
     }
     out << "]\n";
     return file;
 }
 
+void cluster::start_link(int link, std::uint16_t target)
+{
+    auto started = child_process::start("link_stand_in",
+        { "--listen", local(this->link_port(link)), "--to", local(target),
+            "--admin", local(this->link_admin_port(link)) },
+        this->log_file("link-" + std::to_string(link)));
+    this->links.emplace(link, std::move(started.value()));
+}
+
 void cluster::start_platform()
 {
     auto started = child_process::start("platform_stand_in",
@@ -209,6 +257,15 @@
 bool cluster::start()
 {
     this->start_platform();
+    for (int i = 0; this->plan.has_daemon_links && i < this->plan.daemons; ++i)
+    {
+        this->start_link(this->daemon_link(i), this->fleet_port(i));
+        this->start_link(this->platform_link(i), this->platform_port());
+    }
+    for (int i = 0; this->plan.has_worker_links && i < this->plan.workers; ++i)
+    {
+        this->start_link(this->worker_link(i), this->worker_port(i));
+    }
     for (int i = 0; i < this->plan.workers; ++i)
     {
         this->start_worker(i);
@@ -261,6 +318,57 @@
     http_call(this->worker_port(number), "POST", "/control", control);
 }
 
+void cluster::cut_link(int link, const link_cut& cut) const
+{
+    const json control
+        = { { "cut_forward", cut.forward }, { "cut_back", cut.back } };
+    http_call(this->link_admin_port(link), "POST", "/control", control.dump());
+}
+
+void cluster::cut_daemon_link(int number, const link_cut& cut) const
+{
+    this->cut_link(this->daemon_link(number), cut);
+}
+
+void cluster::cut_worker_link(int number, const link_cut& cut) const
+{
+    this->cut_link(this->worker_link(number), cut);
+}
+
+void cluster::cut_platform_link(int daemon, const link_cut& cut) const
+{
+    this->cut_link(this->platform_link(daemon), cut);
+}
+
+bool cluster::has_full_roster() const
+{
+    const auto reply
+        = http_call(this->platform_port(), "GET", "/v1/objects/claim_roster");
+    const auto object = json::parse(reply ? reply->body : "", nullptr, false);
+    const auto roster = object.is_object()
+        ? json::parse(object.value("value", ""), nullptr, false)
+        : json();
+    bool is_full = roster.is_object() && roster.contains("members")
+        && static_cast<int>(roster["members"].size()) == this->plan.daemons;
+    for (int i = 0; is_full && i < this->plan.daemons; ++i)
+    {
+        is_full = this->metric(i, "claim_roster_version")
+                == roster.value("version", 0.0)
+            && this->metric(i, "claim_partitions_unready") == 0;
+    }
+    return is_full;
+}
+
+double cluster::metric(int daemon, const std::string& name) const
+{
+    const auto reply = http_call(this->admin_port(daemon), "GET", "/metrics");
+    const std::string line = "\npollenward_" + name + " ";
+    const auto at = reply ? reply->body.find(line) : std::string::npos;
+    return at == std::string::npos
+        ? -1
+        : std::strtod(reply->body.c_str() + at + line.size(), nullptr);
+}
+
 std::uint64_t cluster::version_in_force(int daemon) const
 {
     const auto reply
--- a/tests/process/cluster.hpp
+++ b/tests/process/cluster.hpp
@@ -18,6 +18,17 @@
     int workers = 2;
     /// How each worker behaves, as JSON for its --behaviour option.
     std::string behaviour = "{}";
+    /// Whether the others reach each daemon, and each daemon the platform, or
+    /// the daemons each worker, by way of a relay that can cut one direction.
+    bool has_daemon_links = false;
+    bool has_worker_links = false;
+};
+
+/// Directions of a relay that lose all bytes: `forward` is that of messages to
+/// the daemon or worker, `back` that of its replies.
+struct link_cut {
+    bool forward = false;
+    bool back = false;
 };
 
 /// The real programs on loopback: stand-ins for the platform and the workers,
@@ -60,6 +71,17 @@
     void control_platform(const std::string& json) const;
     void control_worker(int number, const std::string& json) const;
 
+    /// Cuts the link to a daemon, or to a worker; the default ends the cut.
+    void cut_daemon_link(int number, const link_cut& cut = {}) const;
+    void cut_worker_link(int number, const link_cut& cut = {}) const;
+    void cut_platform_link(int daemon, const link_cut& cut = {}) const;
+
+    /// Whether all daemons own claims and are ready for them.
+    bool has_full_roster() const;
+
+    /// Value of a metric of a daemon; -1 if it does not answer.
+    double metric(int daemon, const std::string& name) const;
+
     /// Version that a daemon has in force; 0 if it does not answer.
     std::uint64_t version_in_force(int daemon) const;
 
@@ -67,6 +89,22 @@
     std::map<std::string, int> runs() const;
 
 private:
+    /// A relay in front of a program, by its number among all relays.
+    void start_link(int link, std::uint16_t target);
+    void cut_link(int link, const link_cut& cut) const;
+    std::uint16_t link_port(int link) const;
+    std::uint16_t link_admin_port(int link) const;
+    int daemon_link(int daemon) const { return daemon; }
+    int worker_link(int worker) const { return this->plan.daemons + worker; }
+    int platform_link(int daemon) const
+    {
+        return this->plan.daemons + this->plan.workers + daemon;
+    }
+    /// Where the others reach a daemon, a worker or the platform.
+    std::uint16_t fleet_address(int daemon) const;
+    std::uint16_t worker_address(int worker) const;
+    std::uint16_t platform_address(int daemon) const;
+
     std::string write_settings(int number) const;
     std::string write_objects() const;
     std::string log_file(const std::string& name) const;
@@ -75,6 +113,7 @@
     cluster_plan plan;
     std::string folder;
     std::vector<std::uint16_t> ports;
+    std::map<int, child_process> links;
     std::map<int, child_process> platforms;
     std::map<int, child_process> workers;
     std::map<int, child_process> daemons;
--- a/tests/process/configuration_test.cpp
+++ b/tests/process/configuration_test.cpp
@@ -1,5 +1,6 @@
 #include "process/cluster.hpp"
 #include "process/eventually.hpp"
+#include "process/patch_call.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -13,23 +14,6 @@
 
 namespace {
 
-/// A patch that sets the floor of the service.
-std::string patch_body(
-    std::uint64_t against, const std::string& id, double floor)
-{
-    return "{\"number\": " + std::to_string(against) + ", \"id\": \"" + id
-        + "\", \"patch\": {\"services\": {\"ballots\": {\"floor\": "
-        + std::to_string(floor) + "}}}}";
-}
-
-std::optional<http_reply> send_patch(const cluster& system, int daemon,
-    std::uint64_t against, const std::string& id, double floor)
-{
-    return http_call(system.admin_port(daemon), "POST", "/patch",
-        patch_body(against, id, floor),
-        { { "Content-Type", "application/json" } });
-}
-
 bool is_in_force_everywhere(
     const cluster& system, int daemons, std::uint64_t number)
 {
--- /dev/null
+++ b/tests/process/partition_test.cpp
@@ -0,0 +1,227 @@
+#include "process/cast_load.hpp"
+#include "process/cluster.hpp"
+#include "process/eventually.hpp"
+#include "process/patch_call.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <cstdint>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace pollenward::test;
+
+namespace {
+
+constexpr link_cut both_directions{ true, true };
+constexpr link_cut replies_only{ false, true };
+
+/// Sends casts through all the daemons at once, so that each is sent again
+/// while another daemon still works on it.
+void send_everywhere(
+    cast_load& load, int daemons, int count, const std::string& prefix)
+{
+    std::vector<std::jthread> threads;
+    for (int daemon = 0; daemon < daemons; ++daemon)
+    {
+        threads.emplace_back([&load, daemon, count, prefix] {
+            for (int i = 0; i < count; ++i)
+            {
+                load.send(daemon, prefix + std::to_string(i));
+            }
+        });
+    }
+}
+
+/// Whether a new cast is answered through each daemon within the time that
+/// `eventually` allows.
+bool casts_work_again(const cluster& system, cast_load& load, int daemons)
+{
+    bool all = true;
+    for (int daemon = 0; daemon < daemons; ++daemon)
+    {
+        int tries = 0;
+        all = eventually([&] {
+            const std::string id = "after-" + std::to_string(daemon) + "-"
+                + std::to_string(++tries);
+            const int before = load.count("answered");
+            load.send(daemon, id);
+            return load.count("answered") > before;
+        }) && all;
+    }
+    return all && system.lookup(0).has_value();
+}
+
+bool all_see_members(const cluster& system, int daemons)
+{
+    for (int i = 0; i < daemons; ++i)
+    {
+        if (system.metric(i, "members_live") != daemons)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+int runs_of_worker(const cluster& system, int worker)
+{
+    const auto reply = http_call(system.worker_port(worker), "GET", "/runs");
+    const auto body
+        = nlohmann::json::parse(reply ? reply->body : "", nullptr, false);
+    return body.is_object() && body.contains("runs")
+        ? static_cast<int>(body["runs"].size())
+        : -1;
+}
+
+} // namespace
+
+// Guards against a claim that its owner granted, but whose claimant did not
+// hear of it, and against a daemon that stays out after a one-way cut.
+TEST_CASE("a daemon whose replies are lost runs nothing twice and comes back")
+{
+    constexpr int daemons = 3;
+    cluster system({ daemons, 2, R"({"service_ms": 20})", true });
+    REQUIRE(system.start());
+    REQUIRE(eventually([&] {
+        return all_see_members(system, daemons) && system.has_full_roster();
+    }));
+    cast_load load(system);
+    system.cut_daemon_link(1, replies_only);
+    send_everywhere(load, daemons, 20, "cut-");
+    system.cut_daemon_link(1);
+    CHECK(eventually([&] { return all_see_members(system, daemons); }));
+    CHECK(casts_work_again(system, load, daemons));
+    load.check(system.runs());
+}
+
+// Guards against a daemon that runs claimed requests while it cannot ask the
+// owners of the claims, and against one that stops serving lookups with them.
+TEST_CASE("daemons cut off from each other refuse casts and answer lookups")
+{
+    constexpr int daemons = 3;
+    cluster system({ daemons, 2, "{}", true });
+    REQUIRE(system.start());
+    REQUIRE(eventually([&] {
+        return all_see_members(system, daemons) && system.has_full_roster();
+    }));
+    for (int i = 0; i < daemons; ++i)
+    {
+        system.cut_daemon_link(i, both_directions);
+    }
+    cast_load load(system);
+    constexpr int casts = 10;
+    send_everywhere(load, daemons, casts, "alone-");
+    CHECK(load.count("not-run") == daemons * casts);
+    for (int i = 0; i < daemons; ++i)
+    {
+        const auto reply = system.lookup(i);
+        REQUIRE(reply);
+        CHECK(reply->status == 200);
+    }
+    for (int i = 0; i < daemons; ++i)
+    {
+        system.cut_daemon_link(i);
+    }
+    CHECK(casts_work_again(system, load, daemons));
+    load.check(system.runs());
+}
+
+// Guards against a worker that is blamed for connections that went silent.
+TEST_CASE("a worker whose connections went silent is not ejected")
+{
+    cluster system({ 2, 2, R"({"service_ms": 20})" });
+    REQUIRE(system.start());
+    const auto send_lookups = [&] {
+        constexpr int senders = 8;
+        constexpr int lookups = 10;
+        std::atomic<int> answered{ 0 };
+        {
+            std::vector<std::jthread> threads;
+            for (int sender = 0; sender < senders; ++sender)
+            {
+                threads.emplace_back([&, sender] {
+                    for (int i = 0; i < lookups; ++i)
+                    {
+                        const auto reply = system.lookup(sender % 2);
+                        answered += reply && reply->status == 200 ? 1 : 0;
+                    }
+                });
+            }
+        }
+        CHECK(answered == senders * lookups);
+    };
+    send_lookups();
+    REQUIRE(http_call(system.worker_port(0), "POST", "/silence"));
+    send_lookups();
+    CHECK(system.metric(0, "connections_gone_silent")
+            + system.metric(1, "connections_gone_silent")
+        >= 1);
+    // An ejected worker would get nothing for the 5 s of its hold.
+    const int before = runs_of_worker(system, 0);
+    send_lookups();
+    CHECK(runs_of_worker(system, 0) > before);
+}
+
+// Guards against a cast that is sent to a second worker because the first one
+// ran it and its answer was lost.
+TEST_CASE("a worker whose replies are lost makes no cast run twice")
+{
+    cluster system({ 2, 2, "{}", false, true });
+    REQUIRE(system.start());
+    REQUIRE(eventually([&] { return system.has_full_roster(); }));
+    cast_load load(system);
+    system.cut_worker_link(0, replies_only);
+    send_everywhere(load, 2, 4, "lost-");
+    system.cut_worker_link(0);
+    CHECK(casts_work_again(system, load, 2));
+    load.check(system.runs());
+}
+
+// Guards against a daemon that keeps an old version after a partition, and
+// against one that goes back to an older version when it hears the others.
+TEST_CASE("a patch reaches a daemon that was cut off and does not go back")
+{
+    constexpr int daemons = 3;
+    cluster system({ daemons, 1, "{}", true });
+    REQUIRE(system.start());
+    REQUIRE(eventually([&] { return all_see_members(system, daemons); }));
+    std::atomic<int> reversions{ 0 };
+    std::jthread observer([&](const std::stop_token& stop) {
+        std::vector<std::uint64_t> highest(daemons);
+        while (!stop.stop_requested())
+        {
+            for (int i = 0; i < daemons; ++i)
+            {
+                const auto seen = system.version_in_force(i);
+                reversions += seen < highest[i] ? 1 : 0;
+                highest[i] = std::max(highest[i], seen);
+            }
+        }
+    });
+    for (int i = 0; i < daemons; ++i)
+    {
+        system.cut_daemon_link(i, both_directions);
+    }
+    system.cut_platform_link(2, both_directions);
+    const auto reply = send_patch(system, 0, 1, "during-cut", 0.3);
+    REQUIRE(reply);
+    CHECK(reply->status == 200);
+    CHECK(eventually([&] { return system.version_in_force(1) == 2; }));
+    CHECK(system.version_in_force(2) == 1);
+    for (int i = 0; i < daemons; ++i)
+    {
+        system.cut_daemon_link(i);
+    }
+    // The daemon still cannot reach the platform: its peers have to tell it.
+    CHECK(eventually([&] { return system.version_in_force(2) == 2; }));
+    system.cut_platform_link(2);
+    REQUIRE(send_patch(system, 2, 2, "after-cut", 0.4)->status == 200);
+    CHECK(eventually([&] { return system.version_in_force(0) == 3; }));
+    observer.request_stop();
+    observer.join();
+    CHECK(reversions == 0);
+}
