--- a/src/fleet/fleet_node.hpp
+++ b/src/fleet/fleet_node.hpp
@@ -3,8 +3,9 @@
 #include "core/runtime_timer.hpp"
 #include "core/sharded_map.hpp"
 #include "core/sharded_snapshot.hpp"
-#include "fleet/document_spread.hpp"
+#include "fleet/document_store.hpp"
 #include "fleet/fleet_transport.hpp"
+#include "fleet/member_list.hpp"
 #include "fleet/membership.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -86,28 +87,14 @@
     /// Ids of the members that take part in homes and watchers.
     std::vector<core::daemon_id> live_daemons() const
     {
-        return this->known_members.read([](const std::vector<member>& all) {
-            std::vector<core::daemon_id> live;
-            for (const member& each : all)
-            {
-                if (each.is_live())
-                {
-                    live.push_back(each.get_id());
-                }
-            }
-            return live;
-        });
+        return this->known_members.read(live_ids);
     }
 
     std::optional<member> find_member(const core::daemon_id& id) const
     {
-        return this->known_members.read(
-            [&](const std::vector<member>& all) -> std::optional<member> {
-                const auto found = std::find_if(all.begin(), all.end(),
-                    [&](const member& each) { return each.get_id() == id; });
-                return found == all.end() ? std::nullopt
-                                          : std::optional(*found);
-            });
+        return this->known_members.read([&](const member_list& all) {
+            return fleet::find_member(all, id);
+        });
     }
 
     /// Time of the last exchange with a daemon in either direction.
@@ -146,21 +133,8 @@
     /// on. The result says how it compares.
     document_order publish(document offered)
     {
-        const core::document_name name = offered.get_name();
         const auto next = std::make_shared<const document>(std::move(offered));
-        document_order order = document_order::same;
-        this->documents.update(
-            name, [&](const std::optional<document_pointer>& present) {
-                const auto digest = present
-                    ? std::optional((*present)->get_digest())
-                    : std::nullopt;
-                order = compare(digest, next->get_digest());
-                return order == document_order::newer ? next : *present;
-            });
-        if (order == document_order::conflict)
-        {
-            ++this->conflicts;
-        }
+        const document_order order = this->documents.offer(next);
         if (order == document_order::newer)
         {
             this->observer.on_document(*next);
@@ -172,12 +146,15 @@
     /// The document in its newest accepted version; null if there is none.
     std::shared_ptr<const document> find(const core::document_name& name) const
     {
-        return this->documents.find(name).value_or(nullptr);
+        return this->documents.find(name);
     }
 
     /// How often a document had the number of the one at hand and another
     /// body.
-    std::uint64_t count_conflicts() const { return this->conflicts.load(); }
+    std::uint64_t count_conflicts() const
+    {
+        return this->documents.count_conflicts();
+    }
 
     /// The platform's list of daemons with their fleet endpoints.
     void set_hosts(const std::vector<platform::host_entry>& hosts)
@@ -203,8 +180,6 @@
     }
 
 private:
-    using document_pointer = std::shared_ptr<const document>;
-
     /// Bodies sent to a peer that lags, for each ping that shows it. The peer
     /// also fetches by itself, so this only has to help one that cannot.
     static constexpr std::size_t max_pushes = 4;
@@ -282,19 +257,9 @@
     message with_hash(const message& content) const
     {
         const ping* direct = std::get_if<ping>(&content);
-        return direct == nullptr
-            ? content
-            : message(direct->with_documents_hash(hash_of(this->digests())));
-    }
-
-    document_digests digests() const
-    {
-        document_digests all;
-        for (const auto& [name, each] : this->documents.entries())
-        {
-            all.push_back(each->get_digest());
-        }
-        return all;
+        return direct == nullptr ? content
+                                 : message(direct->with_documents_hash(
+                                     hash_of(this->documents.digests())));
     }
 
     boost::asio::awaitable<void> reconcile(
@@ -304,8 +269,8 @@
         {
             co_return;
         }
-        const auto plan = spread_plan::make(this->digests(), theirs);
-        this->conflicts += plan.get_conflicts().size();
+        const auto plan = spread_plan::make(this->documents.digests(), theirs);
+        this->documents.note_conflicts(plan.get_conflicts().size());
         for (const core::document_name& name : plan.get_to_fetch())
         {
             co_await this->fetch(peer, name);
@@ -384,7 +349,7 @@
         ack reply = this->with_detector(
             [&] { return this->detector.on_ping(asked, now); });
         this->note_heard(asked.get_sender().get_id());
-        auto mine = this->digests();
+        auto mine = this->documents.digests();
         if (hash_of(mine) != asked.get_documents_hash())
         {
             reply = reply.with_digests(std::move(mine));
@@ -422,9 +387,8 @@
     mutable std::mutex mutex;
     membership detector;
     core::sharded_snapshot<std::vector<member>> known_members;
-    core::sharded_map<core::document_name, document_pointer> documents;
+    document_store documents;
     core::sharded_map<core::daemon_id, core::time_point> heard;
-    std::atomic<std::uint64_t> conflicts{ 0 };
     std::atomic<bool> stopped{ false };
 };
 
--- a/src/fleet/member.hpp
+++ b/src/fleet/member.hpp
@@ -6,6 +6,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <tuple>
 #include <utility>
 
@@ -85,6 +86,27 @@
         return changed;
     }
 
+    /// This member in a record that supersedes `heard`, another daemon's
+    /// record of it; nothing if `heard` is no later than this one and does not
+    /// doubt that the member lives.
+    std::optional<member> refuting(const member& heard) const
+    {
+        const auto theirs = std::pair(heard.incarnation, heard.sequence);
+        const auto own = std::pair(this->incarnation, this->sequence);
+        const bool is_doubt = heard.state == member_state::suspect
+            || heard.state == member_state::dead;
+        if (theirs < own || (theirs == own && !is_doubt))
+        {
+            return std::nullopt;
+        }
+        // A later incarnation means that the clock of this host ran backwards
+        // over a restart.
+        return heard.incarnation > this->incarnation
+            ? this->with_sequence(
+                heard.incarnation + core::incarnation_number(1), 1)
+            : this->with_sequence(heard.incarnation, heard.sequence + 1);
+    }
+
     auto operator<=>(const member&) const = default;
 
 private:
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -1,7 +1,6 @@
 #include "fleet/membership.hpp"
 
 #include <algorithm>
-#include <bit>
 #include <utility>
 
 namespace pollenward::fleet {
@@ -13,11 +12,6 @@
     constexpr std::uint64_t contact_period = 4;
     constexpr std::size_t contacts_while_alone = 3;
 
-    std::size_t announcement_count(std::size_t members)
-    {
-        return 3 * static_cast<std::size_t>(std::bit_width(members + 1));
-    }
-
 } // namespace
 
 membership::membership(
@@ -212,28 +206,10 @@
 
 void membership::refute(const member& record)
 {
-    const auto heard
-        = std::pair(record.get_incarnation(), record.get_sequence());
-    const auto own
-        = std::pair(this->self.get_incarnation(), this->self.get_sequence());
-    const bool is_doubt = record.get_state() == member_state::suspect
-        || record.get_state() == member_state::dead;
-    if (heard < own || (heard == own && !is_doubt))
-    {
-        return;
-    }
-    if (record.get_incarnation() > this->self.get_incarnation())
+    if (const auto next = this->self.refuting(record))
     {
-        // The clock of this host ran backwards over a restart.
-        this->self = this->self.with_sequence(
-            record.get_incarnation() + core::incarnation_number(1), 0);
+        this->self = *next;
     }
-    else
-    {
-        this->self = this->self.with_sequence(
-            record.get_incarnation(), record.get_sequence());
-    }
-    this->raise_sequence();
 }
 
 void membership::set_state(
@@ -264,8 +240,14 @@
         }
     }
     std::erase_if(this->table, [&](const auto& each) {
-        return each.second.record.get_state() == member_state::dead
-            && now - each.second.changed_at >= dead_retention;
+        const auto& [id, known] = each;
+        const bool is_old = known.record.get_state() == member_state::dead
+            && now - known.changed_at >= dead_retention;
+        if (is_old)
+        {
+            this->announcements.remove(id);
+        }
+        return is_old;
     });
 }
 
@@ -372,13 +354,6 @@
 
 member_updates membership::take_updates(const core::daemon_id& receiver)
 {
-    std::vector<std::pair<std::size_t, core::daemon_id>> order;
-    order.reserve(this->announcements.size());
-    for (const auto& [id, left] : this->announcements)
-    {
-        order.emplace_back(left, id);
-    }
-    std::sort(order.rbegin(), order.rend());
     member_updates taken;
     const auto found = this->table.find(receiver);
     if (found != this->table.end()
@@ -386,43 +361,31 @@
     {
         taken.push_back(found->second.record);
     }
-    for (const auto& [left, id] : order)
+    for (const auto& id : this->announcements.take(max_updates - taken.size()))
     {
-        if (taken.size() >= max_updates)
-        {
-            break;
-        }
-        const auto known = this->table.find(id);
-        if (known != this->table.end())
-        {
-            taken.push_back(known->second.record);
-        }
-        if (left <= 1 || known == this->table.end())
-        {
-            this->announcements.erase(id);
-        }
-        else
-        {
-            this->announcements[id] = left - 1;
-        }
+        taken.push_back(this->table.at(id).record);
     }
     return taken;
 }
 
 member_updates membership::all_records() const
 {
-    member_updates all{ this->self };
+    // The table is in the order of ids, so the list needs no sorting.
+    member_updates all;
+    all.reserve(this->table.size() + 1);
     for (const auto& [id, known] : this->table)
     {
         all.push_back(known.record);
     }
-    std::sort(all.begin(), all.end());
+    const auto place = std::distance(
+        this->table.begin(), this->table.upper_bound(this->self.get_id()));
+    all.insert(all.begin() + place, this->self);
     return all;
 }
 
 void membership::announce(const core::daemon_id& id)
 {
-    this->announcements[id] = announcement_count(this->table.size());
+    this->announcements.add(id, this->table.size());
 }
 
 void membership::raise_sequence()
--- a/src/fleet/membership.hpp
+++ b/src/fleet/membership.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/runtime_clock.hpp"
+#include "fleet/announcement_queue.hpp"
 #include "fleet/probe.hpp"
 #include "platform/host_entry.hpp"
 
@@ -101,8 +102,7 @@
     std::mt19937_64 random;
     std::map<core::daemon_id, entry> table;
     std::vector<core::daemon_id> round;
-    /// How often each record is still to be sent.
-    std::map<core::daemon_id, std::size_t> announcements;
+    announcement_queue announcements;
     /// Indirect probes without a result, by target.
     std::map<core::daemon_id, std::size_t> outstanding;
     std::optional<core::time_point> last_tick;
