Retire silent sockets while the exchange counts as in flight

Cause: an exchange that ended after the transport was closed retired its socket from the coroutine, on a transport that may be gone; the thread sanitizer reported 6 races in test_fleet. Change: the result is noted on nng's thread before the exchange leaves the flight counter, which close() waits for. test_fleet without properties under tsan: 23 cases pass, no report.

--- a/src/fleet/nng_transport.cpp
+++ b/src/fleet/nng_transport.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <exception>
+#include <functional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -48,13 +49,20 @@
         };
     }
 
+    /// `on_result` is called on nng's thread while the exchange still counts as
+    /// in flight, so that the transport exists.
     asio::awaitable<wire_result> exchange_bytes(std::shared_ptr<nng_peer> peer,
         encoded_message request, core::milliseconds timeout,
-        std::shared_ptr<flight_counter> flights)
+        std::shared_ptr<flight_counter> flights,
+        std::function<void(int)> on_result)
     {
         const auto initiate = [&](auto handler) {
             start_nng_exchange(peer, request, timeout, flights,
-                complete_on_executor(std::move(handler)));
+                [on_result, done = complete_on_executor(std::move(handler))](
+                    int failure, encoded_message reply) {
+                    on_result(failure);
+                    done(failure, std::move(reply));
+                });
         };
         co_return co_await asio::async_initiate<const asio::use_awaitable_t<>,
             void(wire_result)>(initiate, asio::use_awaitable);
@@ -151,22 +159,26 @@
     }
     const auto traffic = this->traffic;
     traffic->sent.add(content.index(), request.size());
-    auto link = this->peer_of(peer);
-    const auto replies_before = link->count_replies();
+    const auto link = this->peer_of(peer);
+    const auto on_result = [this, peer, link, before = link->count_replies()](
+                               int failure) {
+        if (failure == 0)
+        {
+            link->note_reply();
+        }
+        else if (failure == NNG_ETIMEDOUT && link->count_replies() == before)
+        {
+            this->retire(peer, link);
+        }
+    };
     const auto result = co_await exchange_bytes(
-        link, std::move(request), this->timeout, this->flights);
+        link, std::move(request), this->timeout, this->flights, on_result);
     if (result.failure != 0)
     {
-        if (result.failure == NNG_ETIMEDOUT
-            && link->count_replies() == replies_before)
-        {
-            this->retire(peer, std::move(link));
-        }
         reason
             = core::error::make(step, peer.str(), nng_strerror(result.failure));
         co_return std::nullopt;
     }
-    link->note_reply();
     auto reply = decode_message(result.reply, peer.str(), reason);
     if (!reply)
     {
