--- a/src/fleet/nng_transport.cpp
+++ b/src/fleet/nng_transport.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <exception>
+#include <functional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -48,13 +49,20 @@
         };
     }
 
+    /// `on_result` is called on nng's thread while the exchange still counts as
+    /// in flight, so that the transport exists.
     asio::awaitable<wire_result> exchange_bytes(std::shared_ptr<nng_peer> peer,
         encoded_message request, core::milliseconds timeout,
-        std::shared_ptr<flight_counter> flights)
+        std::shared_ptr<flight_counter> flights,
+        std::function<void(int)> on_result)
     {
         const auto initiate = [&](auto handler) {
             start_nng_exchange(peer, request, timeout, flights,
-                complete_on_executor(std::move(handler)));
+                [on_result, done = complete_on_executor(std::move(handler))](
+                    int failure, encoded_message reply) {
+                    on_result(failure);
+                    done(failure, std::move(reply));
+                });
         };
         co_return co_await asio::async_initiate<const asio::use_awaitable_t<>,
             void(wire_result)>(initiate, asio::use_awaitable);
@@ -151,8 +159,20 @@
     }
     const auto traffic = this->traffic;
     traffic->sent.add(content.index(), request.size());
+    const auto link = this->peer_of(peer);
+    const auto on_result = [this, peer, link, before = link->count_replies()](
+                               int failure) {
+        if (failure == 0)
+        {
+            link->note_reply();
+        }
+        else if (failure == NNG_ETIMEDOUT && link->count_replies() == before)
+        {
+            this->retire(peer, link);
+        }
+    };
     const auto result = co_await exchange_bytes(
-        this->peer_of(peer), std::move(request), this->timeout, this->flights);
+        link, std::move(request), this->timeout, this->flights, on_result);
     if (result.failure != 0)
     {
         reason
@@ -174,13 +194,44 @@
     auto found = this->peers.find(address);
     if (!found)
     {
-        this->peers.insert(address, std::make_shared<nng_peer>(address));
-        found = this->peers.find(address);
+        const auto made = std::make_shared<nng_peer>(address);
+        found = this->peers.update(address,
+            [&](const auto& present) { return present.value_or(made); });
     }
     (*found)->touch(core::runtime_clock::now());
     return *found;
 }
 
+void nng_transport::retire(
+    const core::endpoint& address, std::shared_ptr<nng_peer> peer)
+{
+    this->peers.update(address, [&](const auto& present) {
+        return present == peer ? std::nullopt : present;
+    });
+    const std::lock_guard lock(this->idle_mutex);
+    this->retired.push_back(std::move(peer));
+    this->has_new_retired = true;
+    this->idle_wait.notify_one();
+}
+
+void nng_transport::close_retired(std::unique_lock<std::mutex>& lock)
+{
+    std::vector<std::shared_ptr<nng_peer>> closing;
+    std::erase_if(this->retired, [&](auto& peer) {
+        // Only exchanges in flight hold other references; none is added.
+        const bool is_unused = peer.use_count() == 1;
+        if (is_unused)
+        {
+            closing.push_back(std::move(peer));
+        }
+        return is_unused;
+    });
+    this->has_new_retired = false;
+    lock.unlock();
+    closing.clear();
+    lock.lock();
+}
+
 std::size_t nng_transport::close_idle(core::time_point now)
 {
     std::vector<std::shared_ptr<nng_peer>> closing;
@@ -200,9 +251,12 @@
     std::unique_lock lock(this->idle_mutex);
     while (!stop.stop_requested())
     {
-        this->idle_wait.wait_for(
-            lock, stop, idle_check_interval, [] { return false; });
+        this->idle_wait.wait_for(lock, stop, idle_check_interval,
+            [this] { return this->has_new_retired; });
+        this->close_retired(lock);
+        lock.unlock();
         this->close_idle(core::runtime_clock::now());
+        lock.lock();
     }
 }
 
@@ -215,6 +269,7 @@
     }
     this->flights->close();
     this->server->close();
+    this->retired.clear();
     this->peers.erase_if([](const auto&, const auto&) { return true; });
 }
 
