Let the fleet settle before the idle phase of bench/run

Cause: in a trial with 40 daemons the first 15 s after the start carried 1,357 B/s per daemon, the 15 s after them 218 B/s: the member records of the start were still being passed on.

--- a/bench/control_path.sh
+++ b/bench/control_path.sh
@@ -5,6 +5,9 @@
 
 sizes=(${POLLENWARD_BENCH_SIZES:-2 8 24 40})
 idle_seconds=15
+# Member records of the start are passed on for a while after it; at 40 daemons
+# they added 1 KB/s to the first 15 s.
+settle_seconds=15
 patches=20
 zones=(r1a r1b r2a r2b r3a r3b)
 services=(alpha beta gamma)
@@ -44,7 +47,8 @@
 
 # metric_of_all NAME: the value on each daemon, a line each.
 metric_of_all() {
-    curl --silent "${metric_urls[@]}" | awk -v name="$1" '$1 == name { print $2 }'
+    curl --silent "${metric_urls[@]}" |
+        awk -v name="$1" '$1 == name { print $2 }'
 }
 
 # Waits until all daemons know each other and the claim roster has all of them.
@@ -191,6 +195,7 @@
 
 for size in "${sizes[@]}"; do
     start_fleet "$size"
+    sleep "$settle_seconds"
     idle_phase "$size"
     request_phase "$size"
     memory_rows "$size"
--- a/bench/decisions/inputs.cpp
+++ b/bench/decisions/inputs.cpp
@@ -65,6 +65,7 @@
 operators::configuration make_configuration(int routes)
 {
     std::vector<operators::service_settings> services;
+    services.reserve(routes / routes_per_service);
     std::vector<operators::kind_settings> kinds;
     std::vector<operators::route> declared;
     for (int i = 0; i < routes / routes_per_service; ++i)
@@ -91,6 +92,7 @@
 std::vector<upstream::worker> make_workers(int count, int zones)
 {
     std::vector<upstream::worker> made;
+    made.reserve(count);
     for (int i = 0; i < count; ++i)
     {
         made.push_back(upstream::worker::make(
@@ -102,6 +104,7 @@
 std::vector<upstream::subset_daemon> make_subset_daemons(int count, int zones)
 {
     std::vector<upstream::subset_daemon> made;
+    made.reserve(count);
     for (int i = 0; i < count; ++i)
     {
         made.push_back(
@@ -113,6 +116,7 @@
 std::vector<fleet::zone_daemon> make_zone_daemons(int count, int zones)
 {
     std::vector<fleet::zone_daemon> made;
+    made.reserve(count);
     for (int i = 0; i < count; ++i)
     {
         made.push_back(
@@ -124,6 +128,7 @@
 caller::claim_roster make_roster(int members, int zones)
 {
     std::vector<caller::roster_member> all;
+    all.reserve(members);
     for (int i = 0; i < members; ++i)
     {
         all.push_back(caller::roster_member::make(daemon_name(i),
