Send regular evidence reports and forget workers that are gone

Cause: the loop subtracted time_point::min() from now, which overflows: without a failure no report was ever due, and under the undefined behaviour sanitizer each daemon aborted. The dispatcher kept entries of workers that were no longer listed. Demand was still sent in double precision. Change: times that have not been yet are empty optionals; entries of unlisted workers are dropped when lists change; demand travels in single precision. Conclusion: detection and shares now work without a first failure.

--- a/src/fleet/evidence_codec.cpp
+++ b/src/fleet/evidence_codec.cpp
@@ -115,7 +115,8 @@
     return json::array({ static_cast<std::uint64_t>(content.get_level()),
         content.get_source(), content.get_zone().str(),
         content.get_service().str(), content.get_sequence(), std::move(entries),
-        content.get_demand(), encode_workers(content.get_draining()) });
+        encode_demand(content.get_demand()),
+        encode_workers(content.get_draining()) });
 }
 
 evidence_report decode_fields(
--- a/src/main/evidence_loop.cpp
+++ b/src/main/evidence_loop.cpp
@@ -24,6 +24,13 @@
     /// Demand below this is a remainder of the average.
     constexpr double negligible_demand = 0.01;
 
+    /// True if `interval` has passed since `last`, or there was no last time.
+    bool is_over(const std::optional<core::time_point>& last,
+        core::duration interval, core::time_point now)
+    {
+        return !last || now - *last >= interval;
+    }
+
     bool has_demand(const fleet::rank_demand& demand)
     {
         return std::any_of(demand.begin(), demand.end(),
@@ -79,7 +86,7 @@
         progress.has_evidence = entries.count(id) != 0;
         const bool is_in_use
             = progress.has_evidence || has_demand(progress.demand);
-        const bool is_due = now - progress.reported_at >= regular;
+        const bool is_due = is_over(progress.reported_at, regular, now);
         const bool is_urgent = this->standings.take_failure(id);
         if (!progress.is_waiting_for_home
             && (is_urgent || (is_in_use && is_due)))
@@ -184,7 +191,7 @@
     this->pass_notice(id);
     const bool is_in_use
         = !summary.get_entries().empty() || has_demand(summary.get_demand());
-    const bool is_due = now - progress.summarised_at >= report_interval;
+    const bool is_due = is_over(progress.summarised_at, report_interval, now);
     const bool has_failures = std::any_of(summary.get_entries().begin(),
         summary.get_entries().end(), [](const fleet::evidence_entry& entry) {
             return entry.get_counts().get_fast_failures() > negligible_demand;
--- a/src/main/evidence_loop.hpp
+++ b/src/main/evidence_loop.hpp
@@ -17,6 +17,7 @@
 #include <atomic>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace pollenward::main {
@@ -45,8 +46,8 @@
     /// What the loop keeps of one service between two turns.
     struct service_progress {
         fleet::rank_demand demand{};
-        core::time_point reported_at = core::time_point::min();
-        core::time_point summarised_at = core::time_point::min();
+        std::optional<core::time_point> reported_at;
+        std::optional<core::time_point> summarised_at;
         bool is_waiting_for_home = false;
         bool has_evidence = false;
     };
--- a/src/main/terms_loop.cpp
+++ b/src/main/terms_loop.cpp
@@ -50,6 +50,7 @@
     {
         return;
     }
+    this->forget_unlisted();
     std::vector<upstream::worker> all;
     for (const auto& [service, workers] : this->used_by_service)
     {
@@ -58,6 +59,19 @@
     this->used.store(std::move(all));
 }
 
+void terms_loop::forget_unlisted()
+{
+    std::vector<core::worker_id> listed;
+    for (const auto& [service, present] : this->known)
+    {
+        for (const upstream::worker& each : present.workers)
+        {
+            listed.push_back(each.get_id());
+        }
+    }
+    this->dispatcher.get_state().forget_except(listed);
+}
+
 bool terms_loop::refresh(const operators::service_settings& service,
     const std::vector<upstream::subset_daemon>& daemons)
 {
--- a/src/main/terms_loop.hpp
+++ b/src/main/terms_loop.hpp
@@ -55,6 +55,8 @@
 
     boost::asio::awaitable<void> run();
     void refresh_all();
+    /// Drops what the dispatcher keeps of workers that are gone.
+    void forget_unlisted();
     /// True if the terms changed.
     bool refresh(const operators::service_settings& service,
         const std::vector<upstream::subset_daemon>& daemons);
