--- a/src/main/pollenwardd.cpp
+++ b/src/main/pollenwardd.cpp
@@ -72,6 +72,7 @@
     LOG(INFO) << "serving as " << chosen.get_id();
     {
         std::vector<std::jthread> threads;
+        threads.reserve(static_cast<std::size_t>(chosen.get_threads()));
         for (int i = 0; i < chosen.get_threads(); ++i)
         {
             threads.emplace_back([&] { context.run(); });
