Bound a service by its own sheds at once

Cause: in a flood of ten times capacity only 50 to 66 in 100 urgent requests were answered in time. Until the home reported overload a daemon was bounded by one request per worker at least (836 for 114 slots), shares were cut to whole slots and held during network time, and no shed request was retried. Change: shed response per service (additive increase, multiplicative decrease, not below the safe share); the share is an assured minimum; retries stop only for ranks that get less than they ask for.

--- a/bench/flood_driver/fleet_policy.cpp
+++ b/bench/flood_driver/fleet_policy.cpp
@@ -149,7 +149,7 @@
 {
     upstream::dispatch_state& state = *this->nodes[request.daemon].state;
     const auto& id = this->standings[worker].get_worker().get_id();
-    state.finish(id, result, latency, state.in_flight(id), now);
+    state.finish(service, id, result, latency, state.in_flight(id), now);
     return state.take_retry(forward_of(request), result,
         static_cast<int>(request.tried.size()), now);
 }
@@ -172,7 +172,12 @@
         // As evidence_loop does: an average over about a second.
         self.demand[i] += 0.1 * (present[i] - self.demand[i]);
     }
-    self.state->set_overloaded(service, self.queue.is_overloaded());
+    upstream::rank_flags overloaded{};
+    for (const core::rank rank : core::all_ranks)
+    {
+        overloaded[core::index_of(rank)] = self.queue.is_overloaded(rank, now);
+    }
+    self.state->set_overloaded(service, overloaded);
     if (++self.turns % 5 == daemon % 5)
     {
         this->report(daemon, now);
--- a/src/caller/admission_gate.hpp
+++ b/src/caller/admission_gate.hpp
@@ -89,11 +89,19 @@
             [](const service_state& state) { return state.queue.demand(); });
     }
 
-    /// True while requests of the service wait.
-    bool is_overloaded(const core::service_id& service)
+    /// For each rank, whether requests of it or of a more urgent one wait.
+    std::array<bool, core::rank_count> overloaded_ranks(
+        const core::service_id& service)
     {
-        return this->visit(service, [](const service_state& state) {
-            return state.queue.is_overloaded();
+        const auto now = core::runtime_clock::now();
+        return this->visit(service, [&](const service_state& state) {
+            std::array<bool, core::rank_count> flags{};
+            for (const core::rank rank : core::all_ranks)
+            {
+                flags[core::index_of(rank)]
+                    = state.queue.is_overloaded(rank, now);
+            }
+            return flags;
         });
     }
 
--- a/src/caller/admission_queue.cpp
+++ b/src/caller/admission_queue.cpp
@@ -123,6 +123,23 @@
     return !this->by_deadline.empty();
 }
 
+bool admission_queue::is_overloaded(core::rank rank, core::time_point now) const
+{
+    if (rank == core::rank::urgent)
+    {
+        return this->urgent_refused_at
+            && now - *this->urgent_refused_at <= refusal_window;
+    }
+    for (std::size_t i = 0; i <= core::index_of(rank); ++i)
+    {
+        if (this->line_of(core::all_ranks[i]).get_waiting() > 0)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
 std::size_t admission_queue::get_running() const
 {
     std::size_t total = 0;
--- a/src/caller/admission_queue.hpp
+++ b/src/caller/admission_queue.hpp
@@ -126,6 +126,12 @@
     /// True while requests wait: the service has no capacity to spare.
     bool is_overloaded() const;
 
+    /// True while the rank gets less than it asks for. Urgent requests that
+    /// wait for a moment in a flood of other work do not count, only those
+    /// refused within the last second; a lower rank counts as soon as requests
+    /// of it or of a more urgent rank wait.
+    bool is_overloaded(core::rank rank, core::time_point now) const;
+
     std::size_t get_running() const;
 
 private:
--- a/src/main/evidence_loop.cpp
+++ b/src/main/evidence_loop.cpp
@@ -122,7 +122,7 @@
         progress.demand[i] += demand_weight * (present[i] - progress.demand[i]);
     }
     this->dispatcher.get_state().set_overloaded(
-        service, this->gate.is_overloaded(service));
+        service, this->gate.overloaded_ranks(service));
 }
 
 void evidence_loop::report(const core::service_id& service,
--- a/src/upstream/concurrency_limit.cpp
+++ b/src/upstream/concurrency_limit.cpp
@@ -85,7 +85,9 @@
     {
         return std::min(learned, safe);
     }
-    return share->is_overloaded() ? std::min(learned, share->get_slots())
+    // Under overload the share is what this daemon may use in any case. The
+    // learned limit can be higher: slots are free while requests travel.
+    return share->is_overloaded() ? std::max(learned, share->get_slots())
                                   : learned;
 }
 
--- a/src/upstream/dispatch_state.cpp
+++ b/src/upstream/dispatch_state.cpp
@@ -38,9 +38,9 @@
 }
 
 void dispatch_state::set_overloaded(
-    const core::service_id& service, bool is_overloaded)
+    const core::service_id& service, const rank_flags& flags)
 {
-    this->overloaded.store(service, is_overloaded);
+    this->overloaded.store(service, flags);
 }
 
 void dispatch_state::record_drain(
@@ -144,16 +144,18 @@
             && standing.get_state() != worker_state::ejected;
         learned += gets_work ? each.get_limit() * standing.get_weight() : 0;
     }
-    return service_limit(learned, this->shares.find(service),
-        this->terms_of(service)->get_safe_share(), now);
+    const auto response
+        = this->responses.find(service).value_or(shed_response());
+    return service_limit(std::min(learned, response.get_limit()),
+        this->shares.find(service), this->terms_of(service)->get_safe_share(),
+        now);
 }
 
 bool dispatch_state::is_overloaded(
-    const core::service_id& service, core::time_point now) const
+    const core::service_id& service, core::rank rank) const
 {
-    const auto share = this->shares.find(service);
-    return this->overloaded.find(service).value_or(false)
-        || (share && share->is_overloaded() && now < share->get_expiry());
+    const auto flags = this->overloaded.find(service).value_or(rank_flags());
+    return flags[core::index_of(rank)];
 }
 
 void dispatch_state::count_request(const forward_request& request)
@@ -170,7 +172,8 @@
 bool dispatch_state::take_retry(const forward_request& request,
     attempt_result result, int attempts, core::time_point now)
 {
-    const bool overload = this->is_overloaded(request.get_service(), now);
+    const bool overload
+        = this->is_overloaded(request.get_service(), request.get_rank());
     return this->budgets.visit(
         request.get_service(), [] { return rank_budgets(); },
         [&](rank_budgets& ranks) {
@@ -198,6 +201,11 @@
     const core::service_id& service, const core::worker_id& who)
 {
     const shared_terms known = this->terms_of(service);
+    this->responses.update(
+        service, [](const std::optional<shed_response>& present) {
+            return std::optional(
+                present.value_or(shed_response()).with_start());
+        });
     return this->activities.visit(
         who, [&] { return worker_activity::make(initial_limit(*known)); },
         [&](worker_activity& mine) {
@@ -206,9 +214,19 @@
         });
 }
 
-void dispatch_state::finish(const core::worker_id& who, attempt_result result,
-    core::duration latency, int in_flight, core::time_point now)
+void dispatch_state::finish(const core::service_id& service,
+    const core::worker_id& who, attempt_result result, core::duration latency,
+    int in_flight, core::time_point now)
 {
+    const auto least
+        = static_cast<double>(this->terms_of(service)->get_safe_share().get());
+    this->responses.update(
+        service, [&](const std::optional<shed_response>& present) {
+            const auto known = present.value_or(shed_response());
+            return std::optional(result == attempt_result::refused_shed
+                    ? known.with_shed(least, now)
+                    : known.with_end());
+        });
     this->activities.update(
         who, [&](const std::optional<worker_activity>& present) {
             if (!present)
--- a/src/upstream/dispatch_state.hpp
+++ b/src/upstream/dispatch_state.hpp
@@ -10,6 +10,7 @@
 #include "upstream/forward_request.hpp"
 #include "upstream/retry_budget.hpp"
 #include "upstream/service_terms.hpp"
+#include "upstream/shed_response.hpp"
 #include "upstream/worker_activity.hpp"
 #include "upstream/worker_choice.hpp"
 
@@ -20,6 +21,9 @@
 
 namespace pollenward::upstream {
 
+/// One flag a rank.
+using rank_flags = std::array<bool, core::rank_count>;
+
 /// What one daemon keeps between requests to choose workers and to bound
 /// attempts and requests in flight.
 class dispatch_state {
@@ -29,8 +33,10 @@
 
     void store_terms(const core::service_id& service, service_terms terms);
     void store_share(const core::service_id& service, fleet_share share);
-    /// Told by the admission queue; no request is retried meanwhile.
-    void set_overloaded(const core::service_id& service, bool is_overloaded);
+    /// Told by the admission queue: the ranks that have requests waiting, or
+    /// more urgent ones. No request of such a rank is retried meanwhile.
+    void set_overloaded(
+        const core::service_id& service, const rank_flags& overloaded);
     void record_drain(
         const core::worker_id& who, drain_source source, core::time_point now);
     void record_load(const core::worker_id& who, double hinted_load);
@@ -62,18 +68,19 @@
 
     /// Returns the requests in flight on the worker, with the new one.
     int start(const core::service_id& service, const core::worker_id& who);
-    void finish(const core::worker_id& who, attempt_result result,
-        core::duration latency, int in_flight, core::time_point now);
+    void finish(const core::service_id& service, const core::worker_id& who,
+        attempt_result result, core::duration latency, int in_flight,
+        core::time_point now);
 
 private:
     using rank_budgets = std::array<retry_budget, core::rank_count>;
 
-    bool is_overloaded(
-        const core::service_id& service, core::time_point now) const;
+    bool is_overloaded(const core::service_id& service, core::rank rank) const;
 
     core::sharded_map<core::service_id, shared_terms> terms;
     core::sharded_map<core::service_id, fleet_share> shares;
-    core::sharded_map<core::service_id, bool> overloaded;
+    core::sharded_map<core::service_id, rank_flags> overloaded;
+    core::sharded_map<core::service_id, shed_response> responses;
     core::sharded_map<core::service_id, rank_budgets> budgets;
     core::sharded_map<core::worker_id, worker_activity> activities;
     core::sharded_map<core::worker_id, drain_state> drains;
--- a/src/upstream/dispatcher.hpp
+++ b/src/upstream/dispatcher.hpp
@@ -137,7 +137,7 @@
         auto outcome = co_await this->attempts.run(chosen, request);
         const auto now = core::runtime_clock::now();
         const auto result = outcome.get_last().get_result();
-        this->state.finish(who, result, now - started, in_flight, now);
+        this->state.finish(service, who, result, now - started, in_flight, now);
         if (result == attempt_result::refused_draining)
         {
             this->state.record_drain(who, drain_source::worker_answer, now);
