Show usable and ejected workers per service

Cause: operators could not see ejections, which docs/health.md tells them to watch. Change: gauges workers_usable and workers_ejected per service. Conclusion: false alarms and lost capacity can be watched.

--- a/src/main/admin_view.cpp
+++ b/src/main/admin_view.cpp
@@ -53,6 +53,7 @@
     this->show_traffic(
         "received", this->parts.fleet.get_transport().count_received());
     this->show_claims();
+    this->show_workers();
     this->show_platform();
     return this->parts.metrics.snapshot();
 }
@@ -156,6 +157,20 @@
         static_cast<double>(claims.count(caller::claim_status::refused)));
 }
 
+void admin_view::show_workers()
+{
+    auto& shown = this->parts.metrics;
+    const auto now = core::runtime_clock::now();
+    for (const auto& service : this->parts.configuration.get_services())
+    {
+        const auto& id = service.get_id();
+        shown.set(labelled("workers_usable", "service", id.str()),
+            static_cast<double>(this->parts.standings.find(id).size()));
+        shown.set(labelled("workers_ejected", "service", id.str()),
+            static_cast<double>(this->parts.standings.count_ejected(id, now)));
+    }
+}
+
 void admin_view::show_platform()
 {
     auto& shown = this->parts.metrics;
--- a/src/main/admin_view.hpp
+++ b/src/main/admin_view.hpp
@@ -33,6 +33,7 @@
     claim_service& claims;
     guard_link& guard;
     worker_dispatcher& dispatcher;
+    const worker_standings& standings;
     operators::metrics& metrics;
     /// Requests of callers that are not answered yet.
     std::function<std::size_t()> count_in_flight;
@@ -59,6 +60,7 @@
     void show_traffic(
         const std::string& direction, const fleet::traffic_counts& counts);
     void show_claims();
+    void show_workers();
     void show_platform();
 
     admin_parts parts;
--- a/src/main/daemon.cpp
+++ b/src/main/daemon.cpp
@@ -66,7 +66,8 @@
     , callers(context, this->configuration, this->requests)
     , view({ this->configuration, this->store, this->intake, this->sync,
           this->fleet, this->claims, this->guard, this->dispatcher,
-          this->metrics, [this] { return this->callers.in_flight(); } })
+          this->standings, this->metrics,
+          [this] { return this->callers.in_flight(); } })
     , admin(context, this->view)
 {
 }
--- a/src/main/worker_standings.cpp
+++ b/src/main/worker_standings.cpp
@@ -2,6 +2,8 @@
 
 #include "upstream/floor.hpp"
 
+#include <algorithm>
+
 namespace pollenward::main {
 
 std::vector<upstream::worker_standing> worker_standings::find(
@@ -46,6 +48,17 @@
     this->verdicts.store(service, upstream::hold_verdicts(decided, now));
 }
 
+std::size_t worker_standings::count_ejected(
+    const core::service_id& service, core::time_point now) const
+{
+    const auto held = this->verdicts.find(service).value_or(
+        std::vector<upstream::held_verdict>());
+    return static_cast<std::size_t>(std::count_if(
+        held.begin(), held.end(), [&](const upstream::held_verdict& each) {
+            return each.at(now).get_state() == upstream::worker_state::ejected;
+        }));
+}
+
 void worker_standings::note_drain(const core::worker_id& worker,
     upstream::drain_source source, core::time_point now)
 {
--- a/src/main/worker_standings.hpp
+++ b/src/main/worker_standings.hpp
@@ -40,6 +40,10 @@
     void store_verdicts(const core::service_id& service,
         const std::vector<upstream::verdict>& decided, core::time_point now);
 
+    /// Workers that the homes have ejected, before the floor is applied.
+    std::size_t count_ejected(
+        const core::service_id& service, core::time_point now) const;
+
     void note_drain(const core::worker_id& worker,
         upstream::drain_source source, core::time_point now);
 
--- a/tests/process/failures_test.cpp
+++ b/tests/process/failures_test.cpp
@@ -224,6 +224,9 @@
     CHECK(count_failures(100) == 0);
     system.control_worker(2, R"({"fail_share": 1})");
     CHECK(eventually([&] { return count_failures(100) == 0; }));
+    CHECK(eventually([&] {
+        return system.metric(0, "workers_ejected{service=\"ballots\"}") == 1;
+    }));
     system.control_worker(2, R"({"fail_share": 0})");
     const auto runs_of_worker = [&] {
         const auto reply = http_call(system.worker_port(2), "GET", "/runs");
