--- a/src/caller/admission_gate.hpp
+++ b/src/caller/admission_gate.hpp
@@ -82,6 +82,15 @@
         });
     }
 
+    /// Admits requests for which there is room now, after the limit changed
+    /// for another reason than the end of a request.
+    void advance(const core::service_id& service)
+    {
+        const auto present = this->limits_of(service);
+        this->visit(
+            service, [&](service_state& state) { state.advance(present); });
+    }
+
     /// Requests of a service that wait or run, by rank.
     std::array<double, core::rank_count> demand(const core::service_id& service)
     {
--- a/src/caller/http_message.cpp
+++ b/src/caller/http_message.cpp
@@ -26,30 +26,6 @@
         = { id_field, timeout_field, "Request-Deadline-Unix-Ms",
               "Request-Rank" };
 
-    /// True for fields that concern one connection or that are set anew.
-    bool is_hop_by_hop(http::field name)
-    {
-        using http::field;
-        constexpr std::array fields = { field::connection, field::keep_alive,
-            field::proxy_connection, field::te, field::trailer,
-            field::transfer_encoding, field::upgrade, field::content_length,
-            field::host, field::expect };
-        return std::find(fields.begin(), fields.end(), name) != fields.end();
-    }
-
-    bool is_forwarded(
-        const http_request& message, const http_request::value_type& field)
-    {
-        const auto is_name = [&](boost::beast::string_view name) {
-            return boost::beast::iequals(name, field.name_string());
-        };
-        // RFC 9110, 7.6.1: fields named by Connection end at this hop.
-        return !is_hop_by_hop(field.name())
-            && std::none_of(daemon_fields.begin(), daemon_fields.end(), is_name)
-            && !http::token_list(message[http::field::connection])
-                    .exists(field.name_string());
-    }
-
     /// Replaces characters that would end or corrupt a header field.
     std::string printable(std::string text)
     {
@@ -60,13 +36,45 @@
         return text;
     }
 
-    /// RFC 9110, 8.6: a length of zero must not be sent with these.
-    bool has_no_body(unsigned status)
+} // namespace
+
+bool is_hop_by_hop(http::field name)
+{
+    using http::field;
+    constexpr std::array fields = { field::connection, field::keep_alive,
+        field::proxy_connection, field::te, field::trailer,
+        field::transfer_encoding, field::upgrade, field::content_length,
+        field::host, field::expect };
+    return std::find(fields.begin(), fields.end(), name) != fields.end();
+}
+
+bool has_valid_framing(const http_request& message, core::error& reason)
+{
+    const std::size_t hosts = message.count(http::field::host);
+    if (hosts > 1 || (hosts == 0 && message.version() >= 11))
     {
-        return status < 200 || status == 204 || status == 304;
+        reason = core::error::make(
+            "check Host", "caller", "is missing or given twice");
+        return false;
     }
-
-} // namespace
+    if (message.count(http::field::expect) > 0
+        && !is_continue_expected(message))
+    {
+        reason = core::error::make(
+            "check Expect", "caller", "is not 100-continue");
+        return false;
+    }
+    // RFC 9112, 6.1: a coding that is not understood would hide where the body
+    // ends from whoever reads the message next.
+    const auto coding = message[http::field::transfer_encoding];
+    if (!coding.empty() && !boost::beast::iequals(coding, "chunked"))
+    {
+        reason = core::error::make(
+            "check Transfer-Encoding", "caller", "is not chunked alone");
+        return false;
+    }
+    return true;
+}
 
 std::optional<request_head> read_head(const http_request& message,
     const operators::kind_settings& kind, core::milliseconds max_timeout,
@@ -81,19 +89,8 @@
             return std::nullopt;
         }
     }
-    // RFC 9112, 3.2: to be answered with 400.
-    const std::size_t hosts = message.count(http::field::host);
-    if (hosts > 1 || (hosts == 0 && message.version() >= 11))
+    if (!has_valid_framing(message, reason))
     {
-        reason = core::error::make(
-            "check Host", "caller", "is missing or given twice");
-        return std::nullopt;
-    }
-    if (message.count(http::field::expect) > 0
-        && !is_continue_expected(message))
-    {
-        reason = core::error::make(
-            "check Expect", "caller", "is not 100-continue");
         return std::nullopt;
     }
     return request_head::create(to_view(message[id_field]),
@@ -103,20 +100,16 @@
 
 upstream::request_message to_message(const http_request& message)
 {
-    core::header_fields fields;
-    for (const auto& field : message)
-    {
-        if (is_forwarded(message, field))
-        {
-            fields.push_back(core::header_field::make(
-                std::string(to_view(field.name_string())),
-                std::string(to_view(field.value()))));
-        }
-    }
+    const auto is_daemon_field = [](boost::beast::string_view name) {
+        return std::any_of(daemon_fields.begin(), daemon_fields.end(),
+            [&](boost::beast::string_view known) {
+                return boost::beast::iequals(known, name);
+            });
+    };
     return upstream::request_message::make(
         std::string(to_view(message.method_string())),
-        std::string(to_view(message.target())), std::move(fields),
-        message.body());
+        std::string(to_view(message.target())),
+        end_to_end_fields(message, is_daemon_field), message.body());
 }
 
 core::request_id id_for_answer(const http_request& message)
@@ -155,9 +148,22 @@
         outgoing.set(
             http::field::retry_after, std::to_string(whole_seconds.count()));
     }
-    if (has_no_body(result.get_status()))
+    set_body(outgoing, request, answer);
+    return outgoing;
+}
+
+bool has_no_body(unsigned status)
+{
+    // RFC 9110, 8.6: a length of zero must not be sent with these.
+    return status < 200 || status == 204 || status == 304;
+}
+
+void set_body(http_response& outgoing, const http_request& request,
+    const caller_answer& answer)
+{
+    if (has_no_body(outgoing.result_int()))
     {
-        return outgoing;
+        return;
     }
     const bool is_head = request.method() == http::verb::head;
     const bool has_length = outgoing.count(http::field::content_length) > 0;
@@ -166,7 +172,6 @@
         outgoing.content_length(answer.get_body().size());
     }
     outgoing.body() = is_head ? std::string() : answer.get_body();
-    return outgoing;
 }
 
 std::optional<caller_answer> answer_to_failed_read(
--- a/src/caller/http_message.hpp
+++ b/src/caller/http_message.hpp
@@ -3,7 +3,9 @@
 // Conversion between HTTP messages and the values of this package.
 
 #include "caller/caller_answer.hpp"
+#include "caller/caller_limits.hpp"
 #include "caller/request_head.hpp"
+#include "caller/route_table.hpp"
 #include "core/error.hpp"
 #include "core/runtime_clock.hpp"
 #include "operators/kind_settings.hpp"
@@ -11,10 +13,12 @@
 
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/system/error_code.hpp>
 
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace pollenward::caller {
@@ -41,6 +45,38 @@
 /// that the daemon sets itself.
 upstream::request_message to_message(const http_request& message);
 
+/// True for fields that concern one connection or that are set anew.
+bool is_hop_by_hop(boost::beast::http::field name);
+
+/// The end-to-end fields of a message, but for those that `is_left_out` names.
+template <class Predicate>
+core::header_fields end_to_end_fields(
+    const http_request& message, Predicate is_left_out)
+{
+    core::header_fields fields;
+    for (const auto& field : message)
+    {
+        // RFC 9110, 7.6.1: fields named by Connection end at this hop.
+        const bool is_passed_on = !is_hop_by_hop(field.name())
+            && !is_left_out(field.name_string())
+            && !boost::beast::http::token_list(
+                message[boost::beast::http::field::connection])
+                    .exists(field.name_string());
+        if (is_passed_on)
+        {
+            fields.push_back(core::header_field::make(
+                std::string(to_view(field.name_string())),
+                std::string(to_view(field.value()))));
+        }
+    }
+    return fields;
+}
+
+/// RFC 9112, 3.2 and RFC 9110, 10.1.1: Host must be given once, and an
+/// expectation must be one that this server knows. False, with a reason, if
+/// the message has to be answered with 400.
+bool has_valid_framing(const http_request& message, core::error& reason);
+
 /// The caller's request id if it is valid, else a new one.
 core::request_id id_for_answer(const http_request& message);
 
@@ -57,7 +93,56 @@
 std::optional<caller_answer> answer_to_failed_read(
     const boost::system::error_code& failure);
 
+/// True for statuses whose responses have no body and no length.
+bool has_no_body(unsigned status);
+
+/// Gives a response its body and length; one to a HEAD request has only the
+/// length.
+void set_body(http_response& outgoing, const http_request& request,
+    const caller_answer& answer);
+
 /// The answer to a request that is refused before it is handled.
 caller_answer refusal(unsigned status, std::string reason);
 
+/// The product's own header fields.
+struct own_dialect {
+    template <class Router>
+    static caller_limits limits(const Router& /*routes*/)
+    {
+        return {};
+    }
+
+    template <class Router>
+    static std::optional<operators::kind_settings> find_kind(
+        const Router& routes, const http_request& message)
+    {
+        return routes.find(to_view(message.method_string()),
+            path_of(to_view(message.target())));
+    }
+
+    template <class Router>
+    static caller_answer answer_without_route(const Router& /*routes*/)
+    {
+        return refusal(404, "no route");
+    }
+
+    static std::optional<request_head> read_head(const http_request& message,
+        const operators::kind_settings& kind, core::milliseconds max_timeout,
+        core::time_point now, core::error& reason)
+    {
+        return caller::read_head(message, kind, max_timeout, now, reason);
+    }
+
+    static upstream::request_message to_message(const http_request& message)
+    {
+        return caller::to_message(message);
+    }
+
+    static http_response to_response(const caller_answer& answer,
+        const http_request& request, const core::request_id& id)
+    {
+        return caller::to_response(answer, request, id);
+    }
+};
+
 } // namespace pollenward::caller
--- a/src/caller/http_server.hpp
+++ b/src/caller/http_server.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "caller/caller_answer.hpp"
+#include "caller/caller_limits.hpp"
 #include "caller/caller_link.hpp"
 #include "caller/caller_request.hpp"
 #include "caller/http_message.hpp"
@@ -31,12 +32,7 @@
 
 namespace pollenward::caller {
 
-/// Largest header block accepted, in bytes.
-inline constexpr std::uint32_t max_header_bytes = 16 * 1024;
-/// Time limits on reading from a caller and on writing to it.
-inline constexpr core::seconds idle_limit{ 60 };
-inline constexpr core::seconds header_limit{ 10 };
-inline constexpr core::seconds body_limit{ 30 };
+/// Time limit on writing to a caller.
 inline constexpr core::seconds write_limit{ 30 };
 /// How long a refused caller may take to close its side.
 inline constexpr core::seconds close_limit{ 2 };
@@ -44,15 +40,31 @@
 /// does not go away at once, and the loop must not spin.
 inline constexpr core::milliseconds accept_pause{ 100 };
 
-/// Finds the kind of a request and the longest time limit allowed.
-template <class Type>
-concept router = requires(const Type& type, std::string_view text) {
+/// Translates between the header fields of one kind of caller and the values
+/// of this package. `Router` is what the dialect looks routes up in.
+template <class Type, class Router>
+concept caller_dialect = requires(const Router& routes,
+    const http_request& message, const operators::kind_settings& kind,
+    core::time_point now, core::error& reason, const caller_answer& answer,
+    const core::request_id& id) {
+    {
+        Type::limits(routes)
+    } -> std::same_as<caller_limits>;
     {
-        type.find(text, text)
+        Type::find_kind(routes, message)
     } -> std::same_as<std::optional<operators::kind_settings>>;
     {
-        type.max_timeout()
-    } -> std::same_as<core::milliseconds>;
+        Type::answer_without_route(routes)
+    } -> std::same_as<caller_answer>;
+    {
+        Type::read_head(message, kind, routes.max_timeout(), now, reason)
+    } -> std::same_as<std::optional<request_head>>;
+    {
+        Type::to_message(message)
+    } -> std::same_as<upstream::request_message>;
+    {
+        Type::to_response(answer, message, id)
+    } -> std::same_as<http_response>;
 };
 
 /// Runs a request to its answer.
@@ -65,7 +77,8 @@
 
 /// The HTTP/1.1 server that callers talk to. Each connection runs as a
 /// coroutine on its own strand.
-template <router Router, request_handler Handler>
+template <class Router, request_handler Handler, class Dialect = own_dialect>
+    requires caller_dialect<Dialect, Router>
 class http_server {
 public:
     http_server(boost::asio::io_context& context, const Router& routes,
@@ -127,6 +140,9 @@
         });
     }
 
+    /// Closes each connection after its next answer; idle ones stay open.
+    void begin_closing() { this->links.begin_closing(); }
+
     /// Closes idle connections, and each other one after its next answer.
     void begin_drain() { this->links.begin_drain(); }
 
@@ -217,8 +233,9 @@
             co_return false;
         }
         link.is_idle = true;
-        const auto count = co_await core::with_deadline(
-            link.read_some(), core::runtime_clock::now() + idle_limit);
+        const auto count = co_await core::with_deadline(link.read_some(),
+            core::runtime_clock::now()
+                + Dialect::limits(this->routes).get_idle());
         link.is_idle = false;
         co_return count.value_or(0) > 0;
     }
@@ -228,27 +245,28 @@
     {
         namespace http = boost::beast::http;
         http_parser incoming;
-        incoming.header_limit(max_header_bytes);
+        const caller_limits limits = Dialect::limits(this->routes);
+        incoming.header_limit(limits.get_header_bytes());
         // The kind, which sets the limit, is known after the header only.
         incoming.body_limit(boost::none);
-        const auto failure = co_await this->complete_within(header_limit,
-            http::async_read_header(
-                link.socket, link.buffer, incoming, as_result()));
+        const auto failure
+            = co_await this->complete_within(limits.get_header_time(),
+                http::async_read_header(
+                    link.socket, link.buffer, incoming, as_result()));
         if (failure)
         {
             co_return co_await this->refuse_read(link, incoming, failure);
         }
         const auto& header = incoming.get();
-        const auto kind = this->routes.find(
-            to_view(header.method_string()), path_of(to_view(header.target())));
+        const auto kind = Dialect::find_kind(this->routes, header);
         if (!kind)
         {
             co_return co_await this->refuse(
-                link, incoming, refusal(404, "no route"));
+                link, incoming, Dialect::answer_without_route(this->routes));
         }
         core::error reason;
-        const auto head = read_head(header, *kind, this->routes.max_timeout(),
-            core::runtime_clock::now(), reason);
+        const auto head = Dialect::read_head(header, *kind,
+            this->routes.max_timeout(), core::runtime_clock::now(), reason);
         if (!head)
         {
             co_return co_await this->refuse(
@@ -276,7 +294,8 @@
                 co_return false;
             }
         }
-        const auto failure = co_await this->complete_within(body_limit,
+        const auto failure = co_await this->complete_within(
+            Dialect::limits(this->routes).get_body_time(),
             http::async_read(link.socket, link.buffer, incoming, as_result()));
         if (failure)
         {
@@ -290,16 +309,16 @@
         const http_request& message, const request_head& head)
     {
         using namespace boost::asio::experimental::awaitable_operators;
-        const auto answer
-            = co_await (this->handle(head.with_message(to_message(message)))
-                || link.wait_for_end());
+        const auto answer = co_await (
+            this->handle(head.with_message(Dialect::to_message(message)))
+            || link.wait_for_end());
         if (answer.index() != 0)
         {
             link.close();
             co_return false;
         }
         co_return co_await this->write(link,
-            to_response(std::get<0>(answer), message, head.get_id()),
+            Dialect::to_response(std::get<0>(answer), message, head.get_id()),
             message.keep_alive());
     }
 
@@ -333,14 +352,16 @@
         caller_link& link, const http_parser& incoming, caller_answer answer)
     {
         const http_request& message = incoming.get();
-        co_return co_await this->write(
-            link, to_response(answer, message, id_for_answer(message)), false);
+        co_return co_await this->write(link,
+            Dialect::to_response(answer, message, id_for_answer(message)),
+            false);
     }
 
     boost::asio::awaitable<bool> write(
         caller_link& link, http_response outgoing, bool is_keep_alive)
     {
-        const bool is_kept = is_keep_alive && !this->links.is_draining();
+        const bool is_kept = is_keep_alive && !this->links.is_draining()
+            && !this->links.is_closing();
         outgoing.keep_alive(is_kept);
         const auto failure = co_await this->complete_within(write_limit,
             boost::beast::http::async_write(
--- a/src/caller/link_table.hpp
+++ b/src/caller/link_table.hpp
@@ -32,6 +32,11 @@
     void begin_request(std::uint64_t number);
     void end_request(std::uint64_t number);
 
+    /// From now on each connection is closed after its next answer, but idle
+    /// ones stay open: their next request may be on its way.
+    void begin_closing() { this->closing = true; }
+    bool is_closing() const { return this->closing.load(); }
+
     /// Closes idle connections, now and from now on.
     void begin_drain();
     bool is_draining() const { return this->draining.load(); }
@@ -61,6 +66,7 @@
     core::sharded_map<std::uint64_t, entry> links;
     core::sharded_map<std::uint64_t, timer_pointer> sleepers;
     std::atomic<std::uint64_t> last_number{ 0 };
+    std::atomic<bool> closing{ false };
     std::atomic<bool> draining{ false };
 };
 
--- a/src/caller/request_flow.hpp
+++ b/src/caller/request_flow.hpp
@@ -139,8 +139,9 @@
         const auto& kind = request.get_kind();
         const auto forward = upstream::forward_request::make(request.get_id(),
             kind.get_service(), kind.get_id(), kind.get_rank(),
-            kind.is_idempotent(), request.get_deadline(),
-            request.get_message());
+            kind.is_idempotent(), request.get_deadline(), request.get_message())
+                                 .with_limits(kind.get_max_attempts(),
+                                     kind.get_target_latency());
         state.sent_at = core::runtime_clock::now();
         const auto result = co_await this->upstreams.dispatch(forward);
         state.certainty = result.get_certainty();
--- a/src/caller/route_table.cpp
+++ b/src/caller/route_table.cpp
@@ -4,9 +4,12 @@
 
 namespace {
 
-    std::string key_of(std::string_view method, std::string_view prefix)
+    std::string key_of(
+        std::string_view host, std::string_view method, std::string_view prefix)
     {
-        std::string key(method);
+        std::string key(host);
+        key += ' ';
+        key += method;
         key += ' ';
         key += prefix;
         return key;
@@ -39,8 +42,11 @@
         const auto kind = configuration.find_kind(route.get_kind());
         if (kind)
         {
+            made.has_hosts = made.has_hosts || !route.get_host().empty();
+            made.has_any_method = made.has_any_method
+                || route.get_method() == operators::any_method;
             made.kinds.emplace(
-                key_of(route.get_method(),
+                key_of(route.get_host(), route.get_method(),
                     without_final_slash(route.get_path_prefix())),
                 *kind);
         }
@@ -49,15 +55,26 @@
 }
 
 std::optional<operators::kind_settings> route_table::find(
-    std::string_view method, std::string_view path) const
+    std::string_view host, std::string_view method, std::string_view path) const
 {
     std::string_view prefix = without_final_slash(path);
     while (!prefix.empty())
     {
-        const auto found = this->kinds.find(key_of(method, prefix));
-        if (found != this->kinds.end())
+        for (const std::string_view name : { host, std::string_view() })
         {
-            return found->second;
+            for (const std::string_view verb :
+                { method, std::string_view(operators::any_method) })
+            {
+                const bool is_possible = (name.empty() || this->has_hosts)
+                    && (verb == method || this->has_any_method);
+                const auto found = is_possible
+                    ? this->kinds.find(key_of(name, verb, prefix))
+                    : this->kinds.end();
+                if (found != this->kinds.end())
+                {
+                    return found->second;
+                }
+            }
         }
         prefix = parent_of(prefix);
     }
--- a/src/caller/route_table.hpp
+++ b/src/caller/route_table.hpp
@@ -18,12 +18,22 @@
     /// The kind declared for the longest matching prefix, or nothing. The
     /// query part of the target, if any, must have been removed.
     std::optional<operators::kind_settings> find(
+        std::string_view method, std::string_view path) const
+    {
+        return this->find({}, method, path);
+    }
+
+    /// As above, for a request to one host name. At one prefix a route for the
+    /// host goes before one for any, and a method before any method.
+    std::optional<operators::kind_settings> find(std::string_view host,
         std::string_view method, std::string_view path) const;
 
     bool operator==(const route_table&) const = default;
 
 private:
     std::unordered_map<std::string, operators::kind_settings> kinds;
+    bool has_hosts = false;
+    bool has_any_method = false;
 };
 
 /// The path of a request target, without its query.
--- a/src/fleet/field_codecs.hpp
+++ b/src/fleet/field_codecs.hpp
@@ -28,6 +28,8 @@
 nlohmann::json encode_fields(const guard_notice& content);
 nlohmann::json encode_fields(const receipt& content);
 nlohmann::json encode_fields(const verdict_notice& content);
+nlohmann::json encode_fields(const zone_report& content);
+nlohmann::json encode_fields(const zone_view& content);
 
 ping decode_fields(array_reader& fields, type_of_message<ping>);
 ack decode_fields(array_reader& fields, type_of_message<ack>);
@@ -49,5 +51,7 @@
 receipt decode_fields(array_reader& fields, type_of_message<receipt>);
 verdict_notice decode_fields(
     array_reader& fields, type_of_message<verdict_notice>);
+zone_report decode_fields(array_reader& fields, type_of_message<zone_report>);
+zone_view decode_fields(array_reader& fields, type_of_message<zone_view>);
 
 } // namespace pollenward::fleet
--- a/src/fleet/message.hpp
+++ b/src/fleet/message.hpp
@@ -12,6 +12,7 @@
 #include "fleet/receipt.hpp"
 #include "fleet/verdict_notice.hpp"
 #include "fleet/verdict_reply.hpp"
+#include "fleet/zone_report.hpp"
 
 #include <array>
 #include <string_view>
@@ -23,12 +24,14 @@
 /// on the wire: new alternatives go to the end.
 using message = std::variant<ping, ack, ping_request, fetch_document, document,
     evidence_report, verdict_reply, claim_request, claim_reply, claim_settle,
-    claim_copy, claim_page, guard_notice, receipt, verdict_notice>;
+    claim_copy, claim_page, guard_notice, receipt, verdict_notice, zone_report,
+    zone_view>;
 
 inline constexpr std::array<std::string_view, std::variant_size_v<message>>
-    message_type_names = { "ping", "ack", "ping_request", "fetch_document",
-        "document", "evidence_report", "verdict_reply", "claim_request",
-        "claim_reply", "claim_settle", "claim_copy", "claim_page",
-        "guard_notice", "receipt", "verdict_notice" };
+    message_type_names
+    = { "ping", "ack", "ping_request", "fetch_document", "document",
+          "evidence_report", "verdict_reply", "claim_request", "claim_reply",
+          "claim_settle", "claim_copy", "claim_page", "guard_notice", "receipt",
+          "verdict_notice", "zone_report", "zone_view" };
 
 } // namespace pollenward::fleet
--- /dev/null
+++ b/src/fleet/zone_codec.cpp
@@ -0,0 +1,151 @@
+#include "fleet/field_codecs.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace pollenward::fleet {
+
+namespace {
+
+    using nlohmann::json;
+
+    constexpr std::uint64_t state_count = 3;
+    /// Far more than any worker takes; bounds what a broken peer can claim.
+    constexpr std::uint64_t most_in_flight = 100'000;
+
+    std::uint64_t whole(double value)
+    {
+        return static_cast<std::uint64_t>(std::llround(std::max(value, 0.0)));
+    }
+
+    /// Age and state of a trace in one number.
+    json encode_traces(const std::vector<trace_summary>& traces)
+    {
+        json numbers = json::array();
+        for (const trace_summary& each : traces)
+        {
+            numbers.push_back(
+                static_cast<std::uint64_t>(each.get_age().count()) * state_count
+                + static_cast<std::uint64_t>(each.get_state()));
+        }
+        return numbers;
+    }
+
+    std::vector<trace_summary> decode_traces(array_reader& fields)
+    {
+        return fields.read_nested([](array_reader& inner) {
+            constexpr std::uint64_t longest_ms = 3'600'000;
+            std::vector<trace_summary> traces;
+            while (inner.get_cause().empty() && inner.remaining() != 0)
+            {
+                const auto number = inner.read_number(longest_ms * state_count);
+                traces.push_back(trace_summary::make(
+                    core::milliseconds(number / state_count),
+                    static_cast<upstream::trace_state>(number % state_count)));
+            }
+            return traces;
+        });
+    }
+
+    json encode_load(const std::optional<load_summary>& load)
+    {
+        return load
+            ? json::array({ static_cast<std::uint64_t>(load->get_age().count()),
+                whole(load->get_running()), whole(load->get_waiting()) })
+            : json::array();
+    }
+
+    std::optional<load_summary> decode_load(array_reader& fields)
+    {
+        return fields.read_nested(
+            [](array_reader& inner) -> std::optional<load_summary> {
+                if (inner.remaining() == 0)
+                {
+                    return std::nullopt;
+                }
+                const auto age = inner.read_milliseconds();
+                const auto running
+                    = static_cast<double>(inner.read_number(most_in_flight));
+                const auto waiting
+                    = static_cast<double>(inner.read_number(most_in_flight));
+                return load_summary::make(age, running, waiting);
+            });
+    }
+
+    json encode_workers(const std::vector<worker_summary>& workers)
+    {
+        json rows = json::array();
+        for (const worker_summary& each : workers)
+        {
+            rows.push_back(json::array(
+                { each.get_worker().str(), encode_traces(each.get_traces()),
+                    each.get_in_flight(), encode_load(each.get_load()) }));
+        }
+        return rows;
+    }
+
+    worker_summary decode_worker(array_reader& fields)
+    {
+        auto worker = fields.read_id<core::worker_id>();
+        auto traces = decode_traces(fields);
+        const auto in_flight = fields.read_number(most_in_flight);
+        const auto load = decode_load(fields);
+        return worker_summary::make(
+            std::move(worker), std::move(traces), in_flight, load);
+    }
+
+    json encode_latencies(const std::vector<service_latencies>& latencies)
+    {
+        json rows = json::array();
+        for (const service_latencies& each : latencies)
+        {
+            const upstream::latency_sums& sums = each.get_sums();
+            rows.push_back(json::array({ each.get_service().str(),
+                sums.get_count(), sums.get_logs(), sums.get_squares() }));
+        }
+        return rows;
+    }
+
+    service_latencies decode_latencies(array_reader& fields)
+    {
+        auto service = fields.read_id<core::service_id>();
+        const double count = fields.read_real();
+        const double logs = fields.read_real();
+        const double squares = fields.read_real();
+        return service_latencies::make(std::move(service),
+            upstream::latency_sums::make(count, logs, squares));
+    }
+
+} // namespace
+
+json encode_fields(const zone_report& content)
+{
+    return json::array(
+        { content.get_source().str(), encode_workers(content.get_workers()),
+            encode_latencies(content.get_latencies()) });
+}
+
+json encode_fields(const zone_view& content)
+{
+    return json::array({ encode_workers(content.get_workers()),
+        encode_latencies(content.get_latencies()) });
+}
+
+zone_report decode_fields(array_reader& fields, type_of_message<zone_report>)
+{
+    auto source = fields.read_id<core::daemon_id>();
+    auto workers = fields.read_list(decode_worker);
+    auto latencies = fields.read_list(decode_latencies);
+    return zone_report::make(
+        std::move(source), std::move(workers), std::move(latencies));
+}
+
+zone_view decode_fields(array_reader& fields, type_of_message<zone_view>)
+{
+    auto workers = fields.read_list(decode_worker);
+    auto latencies = fields.read_list(decode_latencies);
+    return zone_view::make(std::move(workers), std::move(latencies));
+}
+
+} // namespace pollenward::fleet
--- /dev/null
+++ b/src/fleet/zone_report.cpp
@@ -0,0 +1,57 @@
+#include "fleet/zone_report.hpp"
+
+#include <algorithm>
+
+namespace pollenward::fleet {
+
+namespace {
+
+    core::milliseconds age_of(core::time_point at, core::time_point now)
+    {
+        return std::max(core::milliseconds::zero(),
+            std::chrono::duration_cast<core::milliseconds>(now - at));
+    }
+
+} // namespace
+
+worker_summary worker_summary::of(const core::worker_id& worker,
+    const upstream::worker_traffic& traffic, core::time_point now)
+{
+    std::vector<trace_summary> traces;
+    traces.reserve(traffic.get_traces().size());
+    for (const upstream::exchange_trace& each : traffic.get_traces())
+    {
+        traces.push_back(trace_summary::make(
+            age_of(each.get_sent_at(), now), each.get_state()));
+    }
+    std::optional<load_summary> load;
+    if (const auto& told = traffic.get_load())
+    {
+        load = load_summary::make(age_of(told->get_at(), now),
+            told->get_running(), told->get_waiting());
+    }
+    return make(worker, std::move(traces),
+        static_cast<std::uint64_t>(traffic.get_in_flight()), load);
+}
+
+upstream::worker_traffic worker_summary::to_traffic(core::time_point now) const
+{
+    upstream::exchange_traces restored;
+    restored.reserve(this->traces.size());
+    for (const trace_summary& each : this->traces)
+    {
+        restored.push_back(upstream::exchange_trace::make(
+            now - each.get_age(), each.get_state()));
+    }
+    std::sort(restored.begin(), restored.end());
+    std::optional<upstream::load_hint> hint;
+    if (this->load)
+    {
+        hint = upstream::load_hint::make(this->load->get_running(),
+            this->load->get_waiting(), now - this->load->get_age());
+    }
+    return upstream::worker_traffic::make(
+        std::move(restored), static_cast<int>(this->in_flight), hint);
+}
+
+} // namespace pollenward::fleet
--- a/src/main/configuration_in_force.cpp
+++ b/src/main/configuration_in_force.cpp
@@ -59,6 +59,22 @@
         [&](const state& value) { return value.routes.find(method, path); });
 }
 
+std::optional<operators::kind_settings> configuration_in_force::find(
+    std::string_view host, std::string_view method, std::string_view path) const
+{
+    return this->present.read([&](const state& value) {
+        return value.routes.find(host, method, path);
+    });
+}
+
+operators::ingress_limits configuration_in_force::ingress() const
+{
+    return this->present.read([](const state& value) {
+        return value.configuration ? value.configuration->get_ingress_limits()
+                                   : operators::ingress_limits();
+    });
+}
+
 core::milliseconds configuration_in_force::max_timeout() const
 {
     return this->present.read([](const state& value) {
--- a/src/main/configuration_in_force.hpp
+++ b/src/main/configuration_in_force.hpp
@@ -30,7 +30,10 @@
     /// The kind of a request, as caller::router asks for it.
     std::optional<operators::kind_settings> find(
         std::string_view method, std::string_view path) const;
+    std::optional<operators::kind_settings> find(std::string_view host,
+        std::string_view method, std::string_view path) const;
     core::milliseconds max_timeout() const;
+    operators::ingress_limits ingress() const;
 
 private:
     /// What requests look up, replaced together.
--- /dev/null
+++ b/src/main/daemon_program.cpp
@@ -0,0 +1,27 @@
+#include "main/daemon_program.hpp"
+
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+namespace pollenward::main {
+
+std::optional<settings> load_settings(const std::string& file)
+{
+    std::ifstream input(file);
+    if (!input)
+    {
+        std::cerr << "read settings with " << file << ": cannot be opened\n";
+        return std::nullopt;
+    }
+    const std::string text{ std::istreambuf_iterator<char>(input), {} };
+    std::vector<core::error> faults;
+    auto chosen = settings::create(text, file, faults);
+    for (const core::error& fault : faults)
+    {
+        std::cerr << fault << '\n';
+    }
+    return chosen;
+}
+
+} // namespace pollenward::main
--- /dev/null
+++ b/src/main/daemon_program.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "core/runtime_timer.hpp"
+#include "main/exit_code.hpp"
+#include "main/settings.hpp"
+#include "operators/event.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <easylogging++.h>
+
+#include <csignal>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace pollenward::main {
+
+/// Reads a settings file; writes all its faults to standard error.
+std::optional<settings> load_settings(const std::string& file);
+
+/// The first signal starts a graceful shutdown; the second ends it at once.
+template <class Daemon>
+boost::asio::awaitable<void> wait_for_signals(
+    boost::asio::io_context& context, Daemon& daemon)
+{
+    using namespace boost::asio::experimental::awaitable_operators;
+    boost::asio::signal_set signals(context, SIGINT, SIGTERM);
+    co_await signals.async_wait(boost::asio::use_awaitable);
+    const auto ended = co_await (
+        daemon.drain() || signals.async_wait(boost::asio::use_awaitable));
+    if (ended.index() != 0)
+    {
+        daemon.cut();
+    }
+    context.stop();
+}
+
+/// Runs a daemon until a signal ends it; returns the exit code.
+template <class Daemon>
+int run_daemon(const settings& chosen)
+{
+    boost::asio::io_context context(chosen.get_threads());
+    Daemon daemon(context, chosen);
+    core::error reason;
+    if (!daemon.start(reason))
+    {
+        LOG(ERROR) << reason;
+        return to_int(exit_code::failure);
+    }
+    boost::asio::co_spawn(
+        context, wait_for_signals(context, daemon), boost::asio::detached);
+    LOG(INFO) << "serving as " << chosen.get_id();
+    {
+        std::vector<std::jthread> threads;
+        threads.reserve(static_cast<std::size_t>(chosen.get_threads()));
+        for (int i = 0; i < chosen.get_threads(); ++i)
+        {
+            threads.emplace_back([&] { context.run(); });
+        }
+    }
+    return to_int(exit_code::success);
+}
+
+} // namespace pollenward::main
--- /dev/null
+++ b/src/main/entry_daemon.hpp
@@ -0,0 +1,323 @@
+#pragma once
+
+#include "caller/admission_gate.hpp"
+#include "caller/http_server.hpp"
+#include "caller/request_flow.hpp"
+#include "core/runtime_timer.hpp"
+#include "fleet/member.hpp"
+#include "main/configuration_in_force.hpp"
+#include "main/entry_intake.hpp"
+#include "main/entry_limits.hpp"
+#include "main/entry_view.hpp"
+#include "main/guard_link.hpp"
+#include "main/settings.hpp"
+#include "main/zone_link.hpp"
+#include "operators/admin_server.hpp"
+#include "operators/event.hpp"
+#include "operators/metrics.hpp"
+#include "platform/listing_watch.hpp"
+#include "upstream/placing_dispatcher.hpp"
+#include "upstream/worker_board.hpp"
+#include "upstream/zone_map.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <atomic>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace pollenward::main {
+
+/// Everything that a deployment's platform defines: how callers and workers
+/// speak, and the store of its configuration, workers and daemons.
+template <class Type>
+concept deployment = caller::caller_dialect<typename Type::caller_dialect,
+                         configuration_in_force>
+    && upstream::worker_codec<typename Type::worker_codec>
+    && platform::kind_store<typename Type::store, operators::configuration>
+    && platform::kind_store<typename Type::store, upstream::listed_worker>
+    && requires(typename Type::store& store, const fleet::member& self) {
+           {
+               store.announce(self)
+           } -> std::same_as<boost::asio::awaitable<bool>>;
+           {
+               store.withdraw(self)
+           } -> std::same_as<boost::asio::awaitable<bool>>;
+           {
+               store.list_daemons()
+           } -> std::same_as<
+               boost::asio::awaitable<platform::listing<fleet::member>>>;
+       };
+
+/// Requests are not claimed: each request id reaches one daemon once, and only
+/// this daemon sends it to workers.
+class no_claims {
+public:
+    boost::asio::awaitable<caller::claim_grant> claim(
+        const caller::caller_request& /*request*/)
+    {
+        co_return caller::claim_grant::make(
+            caller::claim_status::not_needed, {}, core::runtime_clock::now());
+    }
+
+    void settle(const caller::caller_request& /*request*/,
+        caller::claim_state /*state*/)
+    {
+    }
+};
+
+/// The daemon on a platform that keeps all shared state. It asks the store
+/// for its configuration, the workers and the other daemons, and shares with
+/// the daemons of its zone what requests show about workers.
+template <deployment Platform>
+class entry_daemon {
+public:
+    entry_daemon(boost::asio::io_context& context, settings chosen)
+        : context(context)
+        , chosen(std::move(chosen))
+        , board(upstream::zone_map::make(
+              this->chosen.get_zone(), this->chosen.get_zones()))
+        , store(this->chosen)
+        , zone(context,
+              fleet::member::make(this->chosen.get_id(),
+                  this->chosen.get_fleet_endpoint(), this->chosen.get_zone(),
+                  core::incarnation_number(1)),
+              this->board)
+        , guard(this->zone)
+        , dispatcher(context.get_executor(), this->board, this->guard,
+              this->chosen.get_retry_terms())
+        , limits(this->board)
+        , gate(this->limits)
+        , upstreams{ *this }
+        , requests(this->gate, this->claims, this->guard, this->upstreams,
+              this->metrics)
+        , callers(context, this->configuration, this->requests)
+        , view(this->configuration, this->board, this->zone, this->metrics)
+        , admin(context, this->view)
+        , configurations(this->configuration)
+        , workers(this->board)
+        , configuration_watch(
+              this->store, this->configurations, {}, std::random_device()())
+        , worker_watch(this->store, this->workers, {}, std::random_device()())
+    {
+    }
+
+    /// Binds the listeners and starts the control loops. False, with the
+    /// reason, if a listener cannot be bound.
+    bool start(core::error& reason)
+    {
+        const auto on_message = [this](fleet::message received) {
+            return this->answer(std::move(received));
+        };
+        if (!this->zone.start(on_message, reason)
+            || !this->admin.listen(this->chosen.get_operator_endpoint(), reason)
+            || !this->callers.listen(
+                this->chosen.get_caller_endpoint(), reason))
+        {
+            return false;
+        }
+        this->spawn(this->configuration_watch.run());
+        this->spawn(this->worker_watch.run());
+        this->spawn(this->join_fleet());
+        this->spawn(this->maintain());
+        return true;
+    }
+
+    /// Fails the balancer's check, closes each connection after its next
+    /// answer, and returns when all requests have ended or the drain limit is
+    /// over; then cuts the rest.
+    boost::asio::awaitable<void> drain()
+    {
+        operators::write(operators::event::make("daemon.draining")
+                             .with("in_flight", this->callers.in_flight()));
+        this->view.begin_drain();
+        this->callers.begin_closing();
+        this->spawn(this->leave_fleet());
+        co_await core::wait_until(
+            core::runtime_clock::now() + this->chosen.get_drain_delay());
+        this->callers.stop_accepting();
+        this->callers.begin_drain();
+        const bool is_idle = co_await this->callers.wait_until_idle(
+            core::runtime_clock::now() + this->chosen.get_drain_limit());
+        if (!is_idle)
+        {
+            this->cut();
+        }
+        this->configuration_watch.stop();
+        this->worker_watch.stop();
+        this->zone.stop();
+        operators::write(operators::event::make("daemon.drained"));
+    }
+
+    void cut()
+    {
+        const auto requests_cut = this->callers.cut();
+        this->metrics.add("requests_cut", requests_cut);
+        operators::write(operators::event::make("daemon.requests_cut")
+                             .with("count", requests_cut));
+    }
+
+private:
+    using guard_type = basic_guard_link<zone_link>;
+    using gate_type = caller::admission_gate<entry_limits>;
+    using dispatcher_type
+        = upstream::placing_dispatcher<typename Platform::worker_codec,
+            guard_type>;
+
+    /// Counts what is in use around each dispatch; a caller::dispatcher.
+    struct counted_dispatch {
+        entry_daemon& owner;
+
+        boost::asio::awaitable<upstream::dispatch_result> dispatch(
+            const upstream::forward_request& request)
+        {
+            const in_use counted(this->owner.limits, request.get_service());
+            auto result = co_await this->owner.dispatcher.dispatch(request);
+            if (result.get_response())
+            {
+                this->owner.guard.on_success(request);
+            }
+            co_return result;
+        }
+    };
+
+    class in_use {
+    public:
+        in_use(entry_limits& limits, core::service_id service)
+            : limits(limits)
+            , service(std::move(service))
+        {
+            this->limits.count(this->service, 1);
+        }
+        in_use(const in_use&) = delete;
+        in_use& operator=(const in_use&) = delete;
+        ~in_use() { this->limits.count(this->service, -1); }
+
+    private:
+        entry_limits& limits;
+        core::service_id service;
+    };
+
+    using flow = caller::request_flow<gate_type, no_claims, guard_type,
+        counted_dispatch, operators::metrics>;
+
+    void spawn(boost::asio::awaitable<void> loop)
+    {
+        boost::asio::co_spawn(boost::asio::make_strand(this->context),
+            std::move(loop), boost::asio::detached);
+    }
+
+    boost::asio::awaitable<fleet::message> answer(fleet::message received)
+    {
+        const auto* notice = std::get_if<fleet::guard_notice>(&received);
+        if (notice == nullptr)
+        {
+            co_return fleet::message(
+                fleet::receipt::failed("not a request of this daemon"));
+        }
+        this->guard.on_notice(*notice);
+        co_return fleet::message(fleet::receipt::accepted());
+    }
+
+    /// Enters this daemon into the store and keeps the list of the others.
+    boost::asio::awaitable<void> join_fleet()
+    {
+        // At the start all daemons enter themselves within a second or two.
+        constexpr core::milliseconds first_pause{ 700 };
+        constexpr core::milliseconds longest_pause{ 4000 };
+        core::milliseconds pause = first_pause;
+        bool is_announced = false;
+        while (!this->view.is_draining())
+        {
+            is_announced = is_announced
+                || co_await this->store.announce(this->zone.self());
+            const auto known = co_await this->store.list_daemons();
+            if (known.get_status() == platform::listing_status::complete)
+            {
+                is_announced = this->take_members(known) && is_announced;
+            }
+            co_await core::wait_until(core::runtime_clock::now() + pause);
+            pause = std::min(pause * 2, longest_pause);
+        }
+    }
+
+    /// False if this daemon is missing in the list.
+    bool take_members(const platform::listing<fleet::member>& known)
+    {
+        std::vector<fleet::member> members;
+        bool is_listed = false;
+        for (const auto& each : known.get_objects())
+        {
+            if (each.get_value())
+            {
+                members.push_back(*each.get_value());
+                is_listed = is_listed
+                    || each.get_value()->get_id() == this->chosen.get_id();
+            }
+        }
+        this->dispatcher.set_daemons(static_cast<double>(members.size()));
+        this->zone.set_members(std::move(members));
+        return is_listed;
+    }
+
+    boost::asio::awaitable<void> leave_fleet()
+    {
+        const bool is_gone = co_await this->store.withdraw(this->zone.self());
+        if (!is_gone)
+        {
+            operators::write(operators::event::make("fleet.withdraw_failed"));
+        }
+    }
+
+    boost::asio::awaitable<void> maintain()
+    {
+        constexpr core::milliseconds interval{ 500 };
+        while (true)
+        {
+            co_await core::wait_until(core::runtime_clock::now() + interval);
+            const auto now = core::runtime_clock::now();
+            this->workers.expire();
+            this->dispatcher.get_connections().close_expired(now);
+            this->guard.get_guard().expire(now);
+            for (const auto& each : this->configuration.get_services())
+            {
+                this->gate.advance(each.get_id());
+            }
+        }
+    }
+
+    boost::asio::io_context& context;
+    settings chosen;
+    operators::metrics metrics;
+    configuration_in_force configuration;
+    upstream::worker_board board;
+    typename Platform::store store;
+    zone_link zone;
+    guard_type guard;
+    dispatcher_type dispatcher;
+    entry_limits limits;
+    gate_type gate;
+    no_claims claims;
+    counted_dispatch upstreams;
+    flow requests;
+    caller::http_server<configuration_in_force, flow,
+        typename Platform::caller_dialect>
+        callers;
+    entry_view view;
+    operators::admin_server<entry_view> admin;
+    configuration_intake configurations;
+    worker_intake workers;
+    platform::listing_watch<operators::configuration, typename Platform::store,
+        configuration_intake>
+        configuration_watch;
+    platform::listing_watch<upstream::listed_worker, typename Platform::store,
+        worker_intake>
+        worker_watch;
+};
+
+} // namespace pollenward::main
--- /dev/null
+++ b/src/main/entry_limits.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "core/runtime_clock.hpp"
+#include "core/sharded_map.hpp"
+#include "operators/service_settings.hpp"
+#include "upstream/worker_board.hpp"
+
+namespace pollenward::main {
+
+/// How much of each service this daemon may use: what it uses now and what is
+/// free on the workers that it would send to; a caller::limit_source.
+class entry_limits {
+public:
+    explicit entry_limits(const upstream::worker_board& board)
+        : board(board)
+    {
+    }
+
+    double limit(const core::service_id& service) const
+    {
+        return this->in_use.find(service).value_or(0)
+            + this->board.free_slots(service, core::runtime_clock::now());
+    }
+
+    /// Under overload a rank keeps this share of the grants, so that no kind
+    /// starves behind a flood of more urgent ones.
+    operators::rank_shares minimum_shares(
+        const core::service_id& /*service*/) const
+    {
+        return { 0, 0.2, 0.15 };
+    }
+
+    void count(const core::service_id& service, int change)
+    {
+        this->in_use.visit(
+            service, [] { return 0; }, [&](int& mine) { mine += change; });
+    }
+
+private:
+    const upstream::worker_board& board;
+    core::sharded_map<core::service_id, int> in_use;
+};
+
+} // namespace pollenward::main
--- a/src/main/settings.cpp
+++ b/src/main/settings.cpp
@@ -1,7 +1,8 @@
 #include "main/settings.hpp"
 
+#include <algorithm>
 #include <charconv>
-#include <limits>
+#include <cmath>
 #include <map>
 #include <set>
 #include <string>
@@ -16,29 +17,34 @@
     constexpr int max_threads = 64;
     constexpr core::milliseconds default_drain_delay{ 2000 };
     constexpr core::milliseconds default_drain_limit{ 30000 };
+    /// Time to leave the fleet and end after the last request.
+    constexpr core::milliseconds exit_time{ 400 };
 
-    /// Parses "250ms" or "2s"; a number without a unit is refused.
+    /// Parses "250ms", "2s" or "2.5s"; a number without a unit is refused.
     std::optional<core::milliseconds> parse_duration(std::string_view text)
     {
-        std::int64_t count = 0;
+        double count = 0;
         const char* end = text.data() + text.size();
         const auto parsed = std::from_chars(text.data(), end, count);
         const std::string_view unit(
             parsed.ptr, static_cast<std::size_t>(end - parsed.ptr));
-        constexpr std::int64_t ms_per_second = 1000;
-        constexpr std::int64_t max_seconds
-            = std::numeric_limits<std::int64_t>::max() / ms_per_second;
-        if (parsed.ec != std::errc() || count < 0 || count > max_seconds)
+        constexpr double ms_per_second = 1000;
+        // A year: keeps sums of points in time and spans from overflowing.
+        constexpr double max_seconds = 365.0 * 24 * 3600;
+        const auto to_milliseconds = [](double value) {
+            return core::milliseconds(std::llround(value));
+        };
+        if (parsed.ec != std::errc() || !(count >= 0) || count > max_seconds)
         {
             return std::nullopt;
         }
         if (unit == "ms")
         {
-            return core::milliseconds(count);
+            return to_milliseconds(count);
         }
         if (unit == "s")
         {
-            return core::milliseconds(count * ms_per_second);
+            return to_milliseconds(count * ms_per_second);
         }
         return std::nullopt;
     }
@@ -126,6 +132,49 @@
             return value.value_or(fallback);
         }
 
+        double read_number(const char* section, const char* key,
+            double fallback, double smallest, double largest)
+        {
+            const toml::node* node = this->find(section, key, false);
+            if (node == nullptr)
+            {
+                return fallback;
+            }
+            const auto value = node->value<double>();
+            if (!node->is_number() || !value || !(*value >= smallest)
+                || *value > largest)
+            {
+                this->report(*node, section, key,
+                    "must be a number from " + std::to_string(smallest) + " to "
+                        + std::to_string(largest));
+                return fallback;
+            }
+            return *value;
+        }
+
+        /// A section whose keys are names and whose values are texts.
+        std::map<std::string, std::string> read_names(const char* section)
+        {
+            std::map<std::string, std::string> names;
+            const toml::table* table = this->document[section].as_table();
+            if (table == nullptr)
+            {
+                return names;
+            }
+            for (const auto& [key, node] : *table)
+            {
+                const std::string name(key.str());
+                this->known[section].insert(name);
+                const auto text = node.value_exact<std::string>();
+                if (!text || text->empty())
+                {
+                    this->report(node, section, name, "must be a text");
+                }
+                names.emplace(name, text.value_or(""));
+            }
+            return names;
+        }
+
         int read_count(const char* section, const char* key, int fallback,
             int smallest, int largest)
         {
@@ -288,6 +337,28 @@
     made.advertised_endpoint
         = reader.read_endpoint("fleet", "advertised", made.fleet_endpoint);
     made.seeds = reader.read_endpoints("fleet", "seeds");
+    for (const auto& [zone, region] : reader.read_names("zones"))
+    {
+        made.zones.emplace(core::zone_id(zone), core::region_id(region));
+    }
+    const upstream::retry_terms standard;
+    constexpr double most_slack = 1e6;
+    made.retries.ratio
+        = reader.read_number("retries", "ratio", standard.ratio, 0, 1);
+    made.retries.slack
+        = reader.read_number("retries", "slack", standard.slack, 0, most_slack);
+    made.retries.window
+        = reader.read_duration("retries", "window", standard.window);
+    // The platform ends the process at this time after the first signal.
+    const core::milliseconds grace = reader.read_duration(
+        "daemon", "grace", made.drain_delay + made.drain_limit + exit_time);
+    if (grace < made.drain_delay + exit_time)
+    {
+        reasons.push_back(core::error::make("check settings", std::string(file),
+            "daemon.grace is shorter than drain_delay"));
+    }
+    made.drain_limit
+        = std::min(made.drain_limit, grace - made.drain_delay - exit_time);
     reader.report_clashes({ { "listen.callers", made.caller_endpoint },
         { "listen.operators", made.operator_endpoint },
         { "listen.fleet", made.fleet_endpoint } });
--- a/src/main/settings.hpp
+++ b/src/main/settings.hpp
@@ -4,8 +4,10 @@
 #include "core/error.hpp"
 #include "core/ids.hpp"
 #include "core/runtime_clock.hpp"
+#include "upstream/retry_allowance.hpp"
 
 #include <compare>
+#include <map>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -30,7 +32,8 @@
     /// Time between failing the balancer's check and closing the listener.
     core::milliseconds get_drain_delay() const { return this->drain_delay; }
 
-    /// Longest time that a shutdown waits for requests in flight.
+    /// Longest time that a shutdown waits for requests in flight after the
+    /// drain delay.
     core::milliseconds get_drain_limit() const { return this->drain_limit; }
 
     const core::endpoint& get_caller_endpoint() const
@@ -63,7 +66,20 @@
     /// Fleet endpoints to ask while the platform's host list is out of reach.
     const std::vector<core::endpoint>& get_seeds() const { return this->seeds; }
 
-    auto operator<=>(const settings&) const = default;
+    /// The zones of the deployment and their regions; empty if not given.
+    const std::map<core::zone_id, core::region_id>& get_zones() const
+    {
+        return this->zones;
+    }
+
+    /// Sends beyond the first of each request that a service takes from all
+    /// daemons together.
+    const upstream::retry_terms& get_retry_terms() const
+    {
+        return this->retries;
+    }
+
+    auto operator<=>(const settings& other) const = default;
 
 private:
     core::daemon_id id;
@@ -78,6 +94,8 @@
     core::endpoint advertised_endpoint;
     core::endpoint platform_endpoint;
     std::vector<core::endpoint> seeds;
+    std::map<core::zone_id, core::region_id> zones;
+    upstream::retry_terms retries;
 };
 
 } // namespace pollenward::main
--- /dev/null
+++ b/src/main/zone_link.cpp
@@ -0,0 +1,219 @@
+#include "main/zone_link.hpp"
+
+#include "core/rendezvous.hpp"
+#include "core/runtime_timer.hpp"
+#include "operators/event.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace pollenward::main {
+
+namespace asio = boost::asio;
+
+zone_link::zone_link(asio::io_context& context, fleet::member self,
+    upstream::worker_board& board, zone_times times)
+    : context(context)
+    , identity(std::move(self))
+    , board(board)
+    , times(times)
+    , transport(context.get_executor(), times.exchange)
+    , listed({})
+{
+}
+
+bool zone_link::start(fleet::message_handler others, core::error& reason)
+{
+    if (!this->transport.listen(this->identity.get_address(), reason))
+    {
+        return false;
+    }
+    this->other_messages = std::move(others);
+    this->transport.serve([this](fleet::message received) {
+        return this->answer(std::move(received));
+    });
+    asio::co_spawn(
+        asio::make_strand(this->context), this->report_all(), asio::detached);
+    return true;
+}
+
+void zone_link::stop()
+{
+    this->stopped = true;
+    this->transport.close();
+}
+
+void zone_link::set_members(std::vector<fleet::member> changed)
+{
+    std::sort(changed.begin(), changed.end());
+    this->listed.store(std::move(changed));
+}
+
+std::vector<fleet::member> zone_link::members() const
+{
+    return this->listed.read([](const auto& known) { return known; });
+}
+
+std::vector<fleet::zone_daemon> zone_link::live_daemons() const
+{
+    std::vector<fleet::zone_daemon> live;
+    for (const fleet::member& each : this->members())
+    {
+        live.push_back(
+            fleet::zone_daemon::make(each.get_id(), each.get_zone()));
+    }
+    return live;
+}
+
+std::optional<fleet::member> zone_link::find(const core::daemon_id& id) const
+{
+    for (const fleet::member& each : this->members())
+    {
+        if (each.get_id() == id)
+        {
+            return each;
+        }
+    }
+    return std::nullopt;
+}
+
+void zone_link::tell(const core::daemon_id& peer, fleet::message content)
+{
+    const auto to = this->find(peer);
+    if (!to)
+    {
+        return;
+    }
+    asio::co_spawn(
+        this->context,
+        [](zone_link& self, core::endpoint address,
+            fleet::message sent) -> asio::awaitable<void> {
+            core::error reason;
+            const auto reply = co_await self.transport.exchange(
+                std::move(address), std::move(sent), reason);
+            if (!reply)
+            {
+                operators::write(operators::event::make("fleet.tell_failed")
+                                     .with("cause", reason));
+            }
+        }(*this, to->get_address(), std::move(content)),
+        asio::detached);
+}
+
+std::optional<fleet::member> zone_link::choose_home(core::time_point now) const
+{
+    std::vector<fleet::member> known = this->members();
+    std::vector<core::daemon_id> candidates;
+    for (const fleet::member& each : known)
+    {
+        const auto until = this->avoided_until.find(each.get_id());
+        if (each.get_zone() == this->identity.get_zone()
+            && (!until || now >= *until))
+        {
+            candidates.push_back(each.get_id());
+        }
+    }
+    const auto top
+        = core::rendezvous_top(this->identity.get_zone().str(), candidates, 1);
+    return top.empty() ? std::nullopt : this->find(top.front());
+}
+
+std::optional<core::daemon_id> zone_link::home() const
+{
+    const auto chosen = this->choose_home(core::runtime_clock::now());
+    return chosen ? std::optional(chosen->get_id()) : std::nullopt;
+}
+
+fleet::zone_report zone_link::make_report(core::time_point now)
+{
+    std::vector<fleet::worker_summary> workers;
+    for (const auto& [who, traffic] : this->board.own_traffic(now))
+    {
+        workers.push_back(fleet::worker_summary::of(who, traffic, now));
+    }
+    std::vector<fleet::service_latencies> latencies;
+    for (const auto& [service, sums] : this->board.take_latencies())
+    {
+        latencies.push_back(fleet::service_latencies::make(service, sums));
+    }
+    return fleet::zone_report::make(
+        this->identity.get_id(), std::move(workers), std::move(latencies));
+}
+
+void zone_link::take_view(const fleet::zone_view& view, core::time_point now)
+{
+    std::vector<upstream::named_traffic> traffic;
+    for (const fleet::worker_summary& each : view.get_workers())
+    {
+        traffic.emplace_back(each.get_worker(), each.to_traffic(now));
+    }
+    this->board.store_zone_traffic(std::move(traffic));
+    std::vector<upstream::named_latencies> latencies;
+    for (const fleet::service_latencies& each : view.get_latencies())
+    {
+        latencies.emplace_back(each.get_service(), each.get_sums());
+    }
+    this->board.store_zone_latencies(latencies);
+}
+
+asio::awaitable<void> zone_link::report()
+{
+    auto now = core::runtime_clock::now();
+    auto report = this->make_report(now);
+    const auto home = this->choose_home(now);
+    if (!home || home->get_id() == this->identity.get_id())
+    {
+        this->take_view(this->home_state.on_report(report, now), now);
+        co_return;
+    }
+    core::error reason;
+    const auto reply = co_await this->transport.exchange(
+        home->get_address(), fleet::message(std::move(report)), reason);
+    now = core::runtime_clock::now();
+    const auto* view = reply ? std::get_if<fleet::zone_view>(&*reply) : nullptr;
+    if (view != nullptr)
+    {
+        this->take_view(*view, now);
+        co_return;
+    }
+    operators::write(operators::event::make("zone.home_lost")
+                         .with("home", home->get_id())
+                         .with("cause", reason));
+    this->avoided_until.store(home->get_id(), now + this->times.avoid_home);
+}
+
+asio::awaitable<void> zone_link::report_all()
+{
+    auto last = core::runtime_clock::now();
+    while (!this->stopped)
+    {
+        co_await core::wait_until(
+            core::runtime_clock::now() + this->times.report);
+        const auto now = core::runtime_clock::now();
+        const bool is_due = now - last >= this->times.idle_report;
+        if (this->stopped || (!is_due && !this->board.take_activity()))
+        {
+            continue;
+        }
+        last = now;
+        co_await this->report();
+    }
+}
+
+asio::awaitable<fleet::message> zone_link::answer(fleet::message received)
+{
+    const auto* report = std::get_if<fleet::zone_report>(&received);
+    if (report == nullptr)
+    {
+        co_return co_await this->other_messages(std::move(received));
+    }
+    co_return fleet::message(
+        this->home_state.on_report(*report, core::runtime_clock::now()));
+}
+
+} // namespace pollenward::main
--- a/src/operators/configuration.hpp
+++ b/src/operators/configuration.hpp
@@ -3,6 +3,7 @@
 #include "core/error.hpp"
 #include "core/ids.hpp"
 #include "core/units.hpp"
+#include "operators/ingress_limits.hpp"
 #include "operators/kind_settings.hpp"
 #include "operators/patch.hpp"
 #include "operators/route.hpp"
@@ -49,6 +50,15 @@
     /// Longest time limit that a caller may ask for, in milliseconds.
     core::milliseconds get_max_timeout() const { return this->max_timeout; }
 
+    const ingress_limits& get_ingress_limits() const { return this->ingress; }
+
+    configuration with_ingress_limits(const ingress_limits& changed) const
+    {
+        configuration next = *this;
+        next.ingress = changed;
+        return next;
+    }
+
     /// The latest patches, oldest first, at most `remembered_patches`.
     const std::vector<patch_record>& get_patches() const
     {
@@ -69,6 +79,7 @@
     std::vector<route> routes;
     core::milliseconds max_timeout{};
     std::vector<patch_record> patches;
+    ingress_limits ingress;
 };
 
 } // namespace pollenward::operators
--- a/src/operators/kind_settings.hpp
+++ b/src/operators/kind_settings.hpp
@@ -9,9 +9,35 @@
 #include <compare>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace pollenward::operators {
 
+/// Attempts of one request on different workers; more would spend the budget of
+/// ten requests on one.
+inline constexpr int default_max_attempts = 3;
+
+/// One part of a kind's requests and the service that it goes to.
+class service_weight {
+public:
+    static service_weight make(core::service_id service, double weight)
+    {
+        service_weight made;
+        made.service = std::move(service);
+        made.weight = weight;
+        return made;
+    }
+
+    const core::service_id& get_service() const { return this->service; }
+    double get_weight() const { return this->weight; }
+
+    auto operator<=>(const service_weight&) const = default;
+
+private:
+    core::service_id service;
+    double weight = 0;
+};
+
 /// What operators declare about one kind of request.
 class kind_settings {
 public:
@@ -48,6 +74,47 @@
     /// Largest body accepted, in bytes.
     core::byte_count get_max_body() const { return this->max_body; }
 
+    /// Time within which an answer is worth most to its caller.
+    core::milliseconds get_target_latency() const
+    {
+        return this->target_latency;
+    }
+
+    /// Workers to which one request may be sent.
+    int get_max_attempts() const { return this->max_attempts; }
+
+    /// The services among which requests of this kind are divided; empty if
+    /// all go to get_service().
+    const std::vector<service_weight>& get_split() const { return this->split; }
+
+    kind_settings with_service(core::service_id changed) const
+    {
+        kind_settings next = *this;
+        next.service = std::move(changed);
+        return next;
+    }
+
+    kind_settings with_target_latency(core::milliseconds changed) const
+    {
+        kind_settings next = *this;
+        next.target_latency = changed;
+        return next;
+    }
+
+    kind_settings with_max_attempts(int changed) const
+    {
+        kind_settings next = *this;
+        next.max_attempts = changed;
+        return next;
+    }
+
+    kind_settings with_split(std::vector<service_weight> changed) const
+    {
+        kind_settings next = *this;
+        next.split = std::move(changed);
+        return next;
+    }
+
     auto operator<=>(const kind_settings&) const = default;
 
 private:
@@ -57,6 +124,9 @@
     core::rank rank = core::rank::background;
     core::milliseconds timeout{};
     core::byte_count max_body;
+    core::milliseconds target_latency{};
+    int max_attempts = default_max_attempts;
+    std::vector<service_weight> split;
 };
 
 } // namespace pollenward::operators
--- a/src/operators/route.hpp
+++ b/src/operators/route.hpp
@@ -10,6 +10,8 @@
 
 namespace pollenward::operators {
 
+inline constexpr const char* any_method = "*";
+
 /// Requests of one method below one path are of one kind. The longest matching
 /// prefix wins; a prefix matches whole path segments only.
 class route {
@@ -32,6 +34,17 @@
         return made;
     }
 
+    /// Restricts the route to requests for one host name.
+    route with_host(std::string changed) const
+    {
+        route next = *this;
+        next.host = std::move(changed);
+        return next;
+    }
+
+    /// Host name that requests must be for; empty if any.
+    const std::string& get_host() const { return this->host; }
+    /// `any_method` if the route takes all methods.
     const std::string& get_method() const { return this->method; }
     const std::string& get_path_prefix() const { return this->path_prefix; }
     const core::kind_id& get_kind() const { return this->kind; }
@@ -39,6 +52,7 @@
     auto operator<=>(const route&) const = default;
 
 private:
+    std::string host;
     std::string method;
     std::string path_prefix;
     core::kind_id kind;
--- a/src/platform/backoff.hpp
+++ b/src/platform/backoff.hpp
@@ -17,15 +17,24 @@
     /// An immediate repetition would not be a pause at all.
     static constexpr core::milliseconds shortest_delay{ 1 };
 
-    static backoff make(std::uint64_t seed) { return backoff(seed, 0); }
+    /// Delays stay below `longest`.
+    static backoff make(
+        std::uint64_t seed, core::milliseconds longest = last_ceiling)
+    {
+        return backoff(seed, longest, 0);
+    }
 
     /// The state after one more failed attempt.
     backoff after_failure() const
     {
-        return backoff(mix(this->state), std::min(this->failures + 1, 32));
+        return backoff(
+            mix(this->state), this->longest, std::min(this->failures + 1, 32));
     }
 
-    backoff after_success() const { return backoff(mix(this->state), 0); }
+    backoff after_success() const
+    {
+        return backoff(mix(this->state), this->longest, 0);
+    }
 
     int get_failures() const { return this->failures; }
 
@@ -38,7 +47,7 @@
         }
         // 100 ms doubled seven times exceeds the last ceiling.
         const int doublings = std::min(this->failures - 1, 7);
-        return std::min(last_ceiling, first_ceiling * (1 << doublings));
+        return std::min(this->longest, first_ceiling * (1 << doublings));
     }
 
     /// Delay before the next attempt; zero before the first failure.
@@ -58,8 +67,9 @@
     auto operator<=>(const backoff&) const = default;
 
 private:
-    backoff(std::uint64_t state, int failures)
+    backoff(std::uint64_t state, core::milliseconds longest, int failures)
         : state(state)
+        , longest(longest)
         , failures(failures)
     {
     }
@@ -74,6 +84,7 @@
     }
 
     std::uint64_t state;
+    core::milliseconds longest;
     int failures;
 };
 
--- /dev/null
+++ b/src/platform/listing.hpp
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "core/error.hpp"
+#include "core/runtime_clock.hpp"
+#include "core/units.hpp"
+#include "platform/watch_result.hpp"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <compare>
+#include <concepts>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace pollenward::platform {
+
+enum class listing_status {
+    /// All objects of the kind.
+    complete,
+    /// What has changed since the revision that was asked for.
+    changes,
+    /// The service no longer knows what changed since that revision.
+    history_gone,
+    /// No usable answer.
+    failed
+};
+
+/// One object of a listing: its name and, if it could be read and is there,
+/// its value.
+template <class Value>
+class listed_object {
+public:
+    static listed_object make(std::string name, std::optional<Value> value)
+    {
+        listed_object made;
+        made.name = std::move(name);
+        made.value = std::move(value);
+        return made;
+    }
+
+    const std::string& get_name() const { return this->name; }
+    /// Nothing if the object was removed or is not of the kind's form.
+    const std::optional<Value>& get_value() const { return this->value; }
+
+    auto operator<=>(const listed_object&) const = default;
+
+private:
+    std::string name;
+    std::optional<Value> value;
+};
+
+/// The objects of one kind, or their changes, at a revision of the store.
+template <class Value>
+class listing {
+public:
+    using object = listed_object<Value>;
+
+    static listing make(listing_status status, store_revision revision,
+        std::vector<object> objects)
+    {
+        listing made;
+        made.status = status;
+        made.revision = revision;
+        made.objects = std::move(objects);
+        return made;
+    }
+
+    static listing history_gone()
+    {
+        return make(listing_status::history_gone, store_revision(0), {});
+    }
+
+    static listing failed(core::error cause)
+    {
+        listing made;
+        made.cause = std::move(cause);
+        return made;
+    }
+
+    listing_status get_status() const { return this->status; }
+    store_revision get_revision() const { return this->revision; }
+    const std::vector<object>& get_objects() const { return this->objects; }
+    const core::error& get_cause() const { return this->cause; }
+
+    auto operator<=>(const listing&) const = default;
+
+private:
+    listing_status status = listing_status::failed;
+    store_revision revision;
+    std::vector<object> objects;
+    core::error cause;
+};
+
+/// A store of objects in kinds, each listed and watched by itself.
+template <class Store, class Value>
+concept kind_store
+    = requires(Store& store, store_revision after, core::milliseconds wait) {
+          {
+              store.template list<Value>()
+          } -> std::same_as<boost::asio::awaitable<listing<Value>>>;
+          {
+              store.template watch<Value>(after, wait)
+          } -> std::same_as<boost::asio::awaitable<listing<Value>>>;
+      };
+
+/// Takes the listings of a kind in order.
+template <class Handler, class Value>
+concept listing_handler = requires(Handler& handler,
+    const listing<Value>& received, const core::error& cause) {
+    handler.on_listing(received);
+    handler.on_store_lost(cause);
+    handler.on_store_regained();
+};
+
+} // namespace pollenward::platform
--- /dev/null
+++ b/src/platform/service_client.cpp
@@ -0,0 +1,194 @@
+#include "platform/service_client.hpp"
+
+#include "core/runtime_timer.hpp"
+#include "core/tcp_keepalive.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <utility>
+
+namespace pollenward::platform {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+    constexpr auto token = asio::as_tuple(asio::use_awaitable);
+    /// Shorter than the idle limits of common servers and balancers (60 s), so
+    /// that a kept connection is rarely one that the other side has closed.
+    constexpr core::seconds idle_limit{ 15 };
+    constexpr std::size_t kept_connections = 4;
+    /// A waiting watch has nothing to send, so only probes show that its
+    /// connection went silent: after 3 s.
+    constexpr core::keepalive_times service_keepalive{ 1, 1, 2, 3000 };
+
+    // Values are up to 1 MB; a watch may return many of them at once.
+    constexpr std::uint64_t body_limit = 256UL * 1024 * 1024;
+
+    http::request<http::string_body> make_request(
+        const core::endpoint& service, const service_call& wanted)
+    {
+        http::request<http::string_body> request(
+            http::string_to_verb(wanted.method), wanted.target, 11,
+            wanted.body);
+        request.set(http::field::host, service.str());
+        for (const auto& field : wanted.headers)
+        {
+            request.set(field.get_name(), field.get_value());
+        }
+        request.prepare_payload();
+        return request;
+    }
+
+} // namespace
+
+struct service_client::connection {
+    explicit connection(const asio::any_io_executor& executor)
+        : socket(executor)
+    {
+    }
+
+    tcp::socket socket;
+    boost::beast::flat_buffer buffer;
+    core::time_point idle_since;
+};
+
+service_client::service_client(core::endpoint service)
+    : service(std::move(service))
+{
+}
+
+service_client::~service_client() = default;
+
+std::unique_ptr<service_client::connection> service_client::take_idle(
+    call_kind kind)
+{
+    const auto oldest = core::runtime_clock::now() - idle_limit;
+    return this->idle.visit(
+        kind, [] { return idle_list(); },
+        [&](idle_list& list) -> std::unique_ptr<connection> {
+            std::erase_if(list,
+                [&](const auto& each) { return each->idle_since < oldest; });
+            if (list.empty())
+            {
+                return nullptr;
+            }
+            auto newest = std::move(list.back());
+            list.pop_back();
+            return newest;
+        });
+}
+
+void service_client::keep_idle(call_kind kind, std::unique_ptr<connection> used)
+{
+    used->idle_since = core::runtime_clock::now();
+    this->idle.visit(
+        kind, [] { return idle_list(); },
+        [&](idle_list& list) {
+            if (list.size() < kept_connections)
+            {
+                list.push_back(std::move(used));
+            }
+        });
+}
+
+asio::awaitable<std::unique_ptr<service_client::connection>>
+service_client::connect(std::string& cause) const
+{
+    auto fresh
+        = std::make_unique<connection>(co_await asio::this_coro::executor);
+    const tcp::endpoint remote(
+        asio::ip::make_address(this->service.get_address()),
+        this->service.get_port());
+    const auto [failure] = co_await fresh->socket.async_connect(remote, token);
+    if (failure)
+    {
+        cause = failure.message();
+        co_return nullptr;
+    }
+    fresh->socket.set_option(tcp::no_delay(true));
+    core::set_keepalive(fresh->socket.native_handle(), service_keepalive);
+    co_return fresh;
+}
+
+asio::awaitable<service_reply> service_client::exchange(
+    std::unique_ptr<connection> used, const service_call& wanted)
+{
+    const bool is_reused = used != nullptr;
+    service_reply done;
+    if (!is_reused)
+    {
+        used = co_await this->connect(done.cause);
+        if (!used)
+        {
+            co_return done;
+        }
+    }
+    const auto request = make_request(this->service, wanted);
+    const auto [write_failure, written]
+        = co_await http::async_write(used->socket, request, token);
+    http::response_parser<http::string_body> incoming;
+    incoming.body_limit(body_limit);
+    const auto [read_failure, count] = co_await http::async_read(
+        used->socket, used->buffer, incoming, token);
+    if (write_failure || read_failure)
+    {
+        const auto& first = write_failure ? write_failure : read_failure;
+        done.cause = first.message();
+        done.is_stale_connection = is_reused && count == 0;
+        co_return done;
+    }
+    done.status = incoming.get().result_int();
+    done.body = std::move(incoming.get().body());
+    if (incoming.get().keep_alive())
+    {
+        this->keep_idle(wanted.kind, std::move(used));
+    }
+    co_return done;
+}
+
+asio::awaitable<service_reply> service_client::call(service_call wanted)
+{
+    const auto expiry = core::runtime_clock::now() + wanted.limit;
+    const auto count
+        = [&] { ++this->calls[static_cast<std::size_t>(wanted.kind)]; };
+    count();
+    auto done = co_await core::with_deadline(
+        this->exchange(this->take_idle(wanted.kind), wanted), expiry);
+    if (done && done->is_stale_connection && wanted.kind != call_kind::put)
+    {
+        count();
+        done = co_await core::with_deadline(
+            this->exchange(nullptr, wanted), expiry);
+    }
+    co_return done ? std::move(*done)
+                   : service_reply{ .cause = "no response in time" };
+}
+
+core::error service_client::fault(
+    const std::string& step, const std::string& cause) const
+{
+    return core::error::make(step, this->service.str(), cause);
+}
+
+std::uint64_t service_client::count_calls(call_kind kind) const
+{
+    return this->calls[static_cast<std::size_t>(kind)].load();
+}
+
+std::uint64_t service_client::count_calls() const
+{
+    std::uint64_t total = 0;
+    for (const auto& each : this->calls)
+    {
+        total += each.load();
+    }
+    return total;
+}
+
+} // namespace pollenward::platform
--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -6,8 +6,10 @@
 
 namespace pollenward::upstream {
 
-connection_pool::connection_pool(boost::asio::any_io_executor executor)
+connection_pool::connection_pool(
+    boost::asio::any_io_executor executor, core::duration idle_limit)
     : executor(std::move(executor))
+    , idle_limit(idle_limit)
 {
 }
 
@@ -48,7 +50,7 @@
                     this->executor, who.get_address()),
                 false);
         }
-        const bool is_fit = now < idle_since + idle_limit
+        const bool is_fit = now < idle_since + this->idle_limit
             && held->get_remote() == who.get_address()
             && !held->has_pending_input();
         if (is_fit)
@@ -116,7 +118,7 @@
 {
     for (const auto& [who, entry] : this->entries.entries())
     {
-        this->take_idle(who, now - idle_limit);
+        this->take_idle(who, now - this->idle_limit);
     }
     this->entries.erase_if(
         [](const core::worker_id&, const worker_entry& entry) {
--- a/src/upstream/connection_pool.hpp
+++ b/src/upstream/connection_pool.hpp
@@ -17,13 +17,14 @@
 
 class connection_lease;
 
-/// Connections to workers. Idle ones are kept for up to 30 s, and the idle and
-/// leased connections to one worker together stay within its allowance.
+/// Connections to workers. Idle ones are kept for `idle_limit`, and the idle
+/// and leased connections to one worker together stay within its allowance.
 class connection_pool {
 public:
-    static constexpr core::seconds idle_limit{ 30 };
+    static constexpr core::seconds default_idle_limit{ 30 };
 
-    explicit connection_pool(boost::asio::any_io_executor executor);
+    explicit connection_pool(boost::asio::any_io_executor executor,
+        core::duration idle_limit = default_idle_limit);
 
     /// A connection to the worker: an idle one without pending input, or a new
     /// one that is not connected. Nothing if `allowance` connections are open.
@@ -66,6 +67,7 @@
         const core::worker_id& who, connection used, core::time_point now);
 
     boost::asio::any_io_executor executor;
+    core::duration idle_limit;
     core::sharded_map<core::worker_id, worker_entry> entries;
 };
 
--- a/src/upstream/exchange_codec.cpp
+++ b/src/upstream/exchange_codec.cpp
@@ -21,47 +21,44 @@
         return (wall + remaining).count();
     }
 
-    /// Fields that concern one connection only. Passing on a caller's framing
-    /// would let the worker see another end of the message than the daemon.
-    bool is_connection_field(http::field name)
+} // namespace
+
+bool is_connection_field(http::field name)
+{
+    switch (name)
     {
-        switch (name)
-        {
-        case http::field::connection:
-        case http::field::keep_alive:
-        case http::field::proxy_connection:
-        case http::field::transfer_encoding:
-        case http::field::content_length:
-        case http::field::te:
-        case http::field::trailer:
-        case http::field::upgrade:
-        case http::field::expect:
-            return true;
-        default:
-            return false;
-        }
+    case http::field::connection:
+    case http::field::keep_alive:
+    case http::field::proxy_connection:
+    case http::field::transfer_encoding:
+    case http::field::content_length:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::upgrade:
+    case http::field::expect:
+        return true;
+    default:
+        return false;
     }
+}
 
-    response_message to_message(const worker_response& incoming)
+response_message to_message(const worker_response& incoming)
+{
+    core::header_fields headers;
+    for (const auto& field : incoming)
     {
-        core::header_fields headers;
-        for (const auto& field : incoming)
+        if (!is_connection_field(field.name()))
         {
-            if (!is_connection_field(field.name()))
-            {
-                headers.push_back(
-                    core::header_field::make(std::string(field.name_string()),
-                        std::string(field.value())));
-            }
+            headers.push_back(core::header_field::make(
+                std::string(field.name_string()), std::string(field.value())));
         }
-        return response_message::make(
-            incoming.result_int(), std::move(headers), incoming.body());
     }
+    return response_message::make(
+        incoming.result_int(), std::move(headers), incoming.body());
+}
 
-} // namespace
-
-std::string encode_header(
-    const forward_request& request, const core::endpoint& remote)
+std::string own_worker_codec::encode_header(const forward_request& request,
+    const core::worker_id& /*who*/, const core::endpoint& remote)
 {
     const request_message& message = request.get_message();
     http::request<http::empty_body> outgoing;
@@ -87,8 +84,15 @@
     return text.str();
 }
 
-exchange_result decode_response(const worker_response& incoming,
-    const core::request_id& id, const core::endpoint& remote)
+bool own_worker_codec::names_request(
+    const worker_response& incoming, const core::request_id& id)
+{
+    return incoming["Request-Id"] == id.str();
+}
+
+exchange_result own_worker_codec::decode_response(
+    const worker_response& incoming, const core::request_id& id,
+    const core::endpoint& remote)
 {
     const auto refused = [&](attempt_result result, const char* cause) {
         return exchange_result::failed(
--- a/src/upstream/forward_request.hpp
+++ b/src/upstream/forward_request.hpp
@@ -4,6 +4,7 @@
 #include "core/ids.hpp"
 #include "core/rank.hpp"
 #include "core/runtime_clock.hpp"
+#include "operators/kind_settings.hpp"
 
 #include <compare>
 #include <string>
@@ -65,6 +66,31 @@
     core::time_point get_deadline() const { return this->deadline; }
     const request_message& get_message() const { return this->message; }
 
+    /// Workers to which the request may be sent.
+    int get_max_attempts() const { return this->max_attempts; }
+    /// Time within which an answer is worth most to its caller; zero if the
+    /// operators declared none.
+    core::milliseconds get_target_latency() const
+    {
+        return this->target_latency;
+    }
+
+    forward_request with_limits(
+        int changed_attempts, core::milliseconds changed_latency) const
+    {
+        forward_request next = *this;
+        next.max_attempts = changed_attempts;
+        next.target_latency = changed_latency;
+        return next;
+    }
+
+    forward_request with_service(core::service_id changed) const
+    {
+        forward_request next = *this;
+        next.service = std::move(changed);
+        return next;
+    }
+
     auto operator<=>(const forward_request&) const = default;
 
 private:
@@ -74,6 +100,8 @@
     core::rank rank = core::rank::background;
     bool idempotent = false;
     core::time_point deadline;
+    int max_attempts = operators::default_max_attempts;
+    core::milliseconds target_latency{};
     request_message message;
 };
 
--- a/src/upstream/local_avoidance.hpp
+++ b/src/upstream/local_avoidance.hpp
@@ -18,13 +18,14 @@
 public:
     /// The state after an attempt. Only results that point to the path count:
     /// no connection, or no byte back. Any byte from the worker clears it.
-    path_state with_result(attempt_result result, core::time_point now) const
+    path_state with_result(attempt_result result, int failures_to_avoid,
+        core::time_point now) const
     {
         switch (result)
         {
         case attempt_result::not_sent:
         case attempt_result::silent:
-            return this->with_failure(now);
+            return this->with_failure(failures_to_avoid, now);
         case attempt_result::answered:
         case attempt_result::refused_shed:
         case attempt_result::refused_draining:
@@ -46,9 +47,8 @@
     auto operator<=>(const path_state&) const = default;
 
 private:
-    path_state with_failure(core::time_point now) const
+    path_state with_failure(int failures_to_avoid, core::time_point now) const
     {
-        constexpr int failures_to_avoid = 3;
         constexpr int most_doublings = 5; // 1 s to 32 s
         path_state next = *this;
         // Attempts that were under way when the avoidance began say nothing
@@ -76,13 +76,22 @@
 /// Any thread may call any function.
 class local_avoidance {
 public:
+    /// Failures after which a worker is avoided, if nothing else is said.
+    static constexpr int default_failures = 3;
+
+    explicit local_avoidance(int failures_to_avoid = default_failures)
+        : failures_to_avoid(failures_to_avoid)
+    {
+    }
+
     void record(const core::service_id& service, const core::worker_id& worker,
         attempt_result result, core::time_point now)
     {
         this->paths.update(evidence_key::make(service, worker),
             [&](const std::optional<path_state>& present) {
                 const auto next
-                    = present.value_or(path_state{}).with_result(result, now);
+                    = present.value_or(path_state{})
+                          .with_result(result, this->failures_to_avoid, now);
                 return next == path_state{} ? std::nullopt
                                             : std::optional(next);
             });
@@ -105,6 +114,7 @@
     }
 
 private:
+    int failures_to_avoid;
     core::sharded_map<evidence_key, path_state> paths;
 };
 
--- /dev/null
+++ b/src/upstream/retry_allowance.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "core/runtime_clock.hpp"
+
+#include <algorithm>
+#include <compare>
+
+namespace pollenward::upstream {
+
+/// How many sends beyond the first of each request a service takes from the
+/// whole fleet: in each `window`, `ratio` of the requests and `slack` more.
+struct retry_terms {
+    double ratio = 0.1;
+    double slack = 10;
+    core::milliseconds window{ 10'000 };
+
+    auto operator<=>(const retry_terms&) const = default;
+};
+
+/// One daemon's part of the sends beyond the first that a service takes. Each
+/// request adds a share of a send, so that the parts of all daemons together
+/// stay within the terms without a message; what is saved is at most this
+/// daemon's part of the slack.
+class retry_allowance {
+public:
+    /// `daemons` share the slack. A daemon starts with half of its part: one
+    /// that was killed and started again would otherwise spend it twice.
+    static retry_allowance make(const retry_terms& terms, double daemons)
+    {
+        retry_allowance made;
+        made.earned_per_request = terms.ratio * earned_share;
+        made.most = std::max(1.0, terms.slack / std::max(daemons, 1.0));
+        made.sends = made.most / 2;
+        return made;
+    }
+
+    retry_allowance with_request() const
+    {
+        retry_allowance next = *this;
+        next.sends
+            = std::min(this->most, this->sends + this->earned_per_request);
+        return next;
+    }
+
+    bool allows_send() const { return this->sends >= 1; }
+
+    /// Unchanged if it does not allow a send.
+    retry_allowance with_send() const
+    {
+        retry_allowance next = *this;
+        next.sends -= this->allows_send() ? 1 : 0;
+        return next;
+    }
+
+    auto operator<=>(const retry_allowance&) const = default;
+
+private:
+    /// Keeps a tenth of the ratio for requests that are counted in another
+    /// window than their second sends.
+    static constexpr double earned_share = 0.9;
+
+    double earned_per_request = 0;
+    double most = 1;
+    double sends = 0;
+};
+
+} // namespace pollenward::upstream
--- a/src/upstream/retry_policy.hpp
+++ b/src/upstream/retry_policy.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/runtime_clock.hpp"
+#include "operators/kind_settings.hpp"
 #include "upstream/attempt_result.hpp"
 #include "upstream/retry_budget.hpp"
 
@@ -8,10 +9,6 @@
 
 enum class retry_decision { retry, stop };
 
-/// Attempts of one request on different workers; more would spend the budget of
-/// ten requests on one.
-inline constexpr int max_attempts = 3;
-
 /// Whether another worker is tried after an attempt that ended with `result`.
 /// `attempts` counts those made. The caller withdraws from the budget when it
 /// retries.
@@ -27,7 +24,8 @@
         = is_idempotent || certainty_of(result) == run_certainty::not_run;
     const bool has_time = now < deadline;
     return !is_final && is_safe && has_time && !is_overloaded
-            && attempts < max_attempts && budget.allows_retry()
+            && attempts < operators::default_max_attempts
+            && budget.allows_retry()
         ? retry_decision::retry
         : retry_decision::stop;
 }
--- /dev/null
+++ b/src/upstream/worker_board.cpp
@@ -0,0 +1,239 @@
+#include "upstream/worker_board.hpp"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace pollenward::upstream {
+
+namespace {
+
+    /// Answers that the estimate of a service's latencies rests on.
+    constexpr double most_latencies = 300;
+    /// A guess until answers were seen; the work of most services is shorter.
+    constexpr core::milliseconds guessed_median{ 450 };
+    /// After this time, what a worker said of its load is out of date.
+    constexpr core::milliseconds load_age{ 1500 };
+    /// A failed connect costs its whole time limit, so one is enough.
+    constexpr int path_failures_to_avoid = 1;
+    constexpr core::duration never_used = std::chrono::hours(1);
+
+    double load_of(const worker_traffic& traffic, core::time_point now)
+    {
+        const auto& hint = traffic.get_load();
+        const double told = hint && now - hint->get_at() <= load_age
+            ? hint->get_running() + hint->get_waiting()
+            : 0;
+        return std::max(told, static_cast<double>(traffic.get_in_flight()));
+    }
+
+} // namespace
+
+worker_board::worker_board(zone_map zones, gray_failure_model model)
+    : zones(std::move(zones))
+    , model(model)
+    , paths(path_failures_to_avoid)
+{
+}
+
+void worker_board::store_listed(const std::vector<listed_worker>& listed)
+{
+    std::map<core::service_id, std::vector<listed_worker>> by_service;
+    std::set<core::worker_id> present;
+    for (const listed_worker& each : listed)
+    {
+        by_service[each.get_service()].push_back(each);
+        present.insert(each.get_worker().get_id());
+    }
+    for (auto& [service, workers] : by_service)
+    {
+        this->listed.store(service,
+            std::make_shared<const std::vector<listed_worker>>(
+                std::move(workers)));
+    }
+    this->listed.erase_if([&](const core::service_id& service, const auto&) {
+        return by_service.count(service) == 0;
+    });
+    this->listed_count = listed.size();
+    const auto is_absent = [&](const core::worker_id& who, const auto&) {
+        return present.count(who) == 0;
+    };
+    this->gone.erase_if(is_absent);
+    this->own.erase_if(
+        [&](const core::worker_id& who, const worker_traffic& each) {
+            return each.get_in_flight() == 0 && present.count(who) == 0;
+        });
+}
+
+worker_board::shared_workers worker_board::find(
+    const core::service_id& service) const
+{
+    static const auto none
+        = std::make_shared<const std::vector<listed_worker>>();
+    return this->listed.find(service).value_or(none);
+}
+
+worker_traffic worker_board::traffic_of(
+    const core::worker_id& who, core::time_point now) const
+{
+    const auto mine = this->own.find(who);
+    const auto others = this->zone.find(who);
+    if (mine && others)
+    {
+        return mine->merged(*others, now);
+    }
+    return mine ? *mine : others.value_or(worker_traffic());
+}
+
+placement_candidates worker_board::candidates(const core::service_id& service,
+    const std::vector<core::worker_id>& left_out, core::time_point now) const
+{
+    const auto workers = this->find(service);
+    const auto latencies = this->profile(service);
+    const auto avoided = this->paths.avoided(service, now);
+    placement_candidates found;
+    found.reserve(workers->size());
+    for (const listed_worker& each : *workers)
+    {
+        const worker& who = each.get_worker();
+        if (who.is_leaving()
+            || std::binary_search(avoided.begin(), avoided.end(), who.get_id())
+            || std::find(left_out.begin(), left_out.end(), who.get_id())
+                != left_out.end()
+            || this->gone.find(who.get_id()))
+        {
+            continue;
+        }
+        const worker_traffic traffic = this->traffic_of(who.get_id(), now);
+        const auto last_sent = traffic.get_last_sent();
+        found.push_back(placement_candidate::make(each,
+            this->zones.distance_to(who.get_zone()),
+            loss_probability(faulty_probability(traffic.get_traces(), latencies,
+                                 this->model, now),
+                this->model),
+            load_of(traffic, now), last_sent ? now - *last_sent : never_used));
+    }
+    return found;
+}
+
+double worker_board::free_slots(
+    const core::service_id& service, core::time_point now) const
+{
+    // A worker that loses more than this is no help against a queue.
+    constexpr double most_loss = 0.6;
+    // The load of workers in other regions is known too late to fill them.
+    constexpr double remote_share = 0.25;
+    double free = 0;
+    for (const placement_candidate& each : this->candidates(service, {}, now))
+    {
+        const double share
+            = each.get_distance() == distance::other_region ? remote_share : 1;
+        free += each.get_loss() <= most_loss ? each.get_free_slots() * share
+                                             : 0.0;
+    }
+    return free;
+}
+
+latency_profile worker_board::profile(const core::service_id& service) const
+{
+    return latency_profile::make(
+        this->latencies.find(service).value_or(latency_sums()), guessed_median);
+}
+
+void worker_board::begin(const core::worker_id& who, core::time_point now)
+{
+    this->own.visit(
+        who, [] { return worker_traffic(); },
+        [&](worker_traffic& mine) { mine = mine.with_send(now); });
+    this->has_activity = true;
+}
+
+void worker_board::end(const core::service_id& service,
+    const core::worker_id& who, core::time_point sent_at,
+    std::optional<trace_state> state, core::time_point now)
+{
+    this->own.visit(
+        who, [] { return worker_traffic(); },
+        [&](worker_traffic& mine) {
+            mine = mine.with_end(sent_at, state, now);
+        });
+    if (state == trace_state::answered)
+    {
+        const auto add = [&](latency_sums& sums) {
+            sums = sums.with_answer(now - sent_at).capped(most_latencies);
+        };
+        const auto none = [] { return latency_sums(); };
+        this->fresh_latencies.visit(service, none, add);
+        this->latencies.visit(service, none, add);
+    }
+    this->has_activity = true;
+}
+
+void worker_board::note_load(const core::worker_id& who, const load_hint& load)
+{
+    this->own.visit(
+        who, [] { return worker_traffic(); },
+        [&](worker_traffic& mine) { mine = mine.with_load(load); });
+}
+
+void worker_board::note_path(const core::service_id& service,
+    const core::worker_id& who, attempt_result result, core::time_point now)
+{
+    this->paths.record(service, who, result, now);
+}
+
+void worker_board::note_gone(const core::worker_id& who)
+{
+    this->gone.store(who, true);
+}
+
+std::vector<named_traffic> worker_board::own_traffic(core::time_point now)
+{
+    this->own.erase_if([&](const core::worker_id&, const worker_traffic& each) {
+        return each.is_idle(now);
+    });
+    return this->own.entries();
+}
+
+std::vector<named_latencies> worker_board::take_latencies()
+{
+    std::vector<named_latencies> taken;
+    for (const auto& [service, sums] : this->fresh_latencies.entries())
+    {
+        // What was added since the copy is taken with it.
+        if (const auto last = this->fresh_latencies.take(service))
+        {
+            taken.emplace_back(service, *last);
+        }
+    }
+    return taken;
+}
+
+bool worker_board::take_activity()
+{
+    return this->has_activity.exchange(false);
+}
+
+void worker_board::store_zone_traffic(std::vector<named_traffic> traffic)
+{
+    std::set<core::worker_id> told;
+    for (auto& [who, each] : traffic)
+    {
+        told.insert(who);
+        this->zone.store(who, std::move(each));
+    }
+    this->zone.erase_if([&](const core::worker_id& who, const auto&) {
+        return told.count(who) == 0;
+    });
+}
+
+void worker_board::store_zone_latencies(
+    const std::vector<named_latencies>& latencies)
+{
+    for (const auto& [service, sums] : latencies)
+    {
+        this->latencies.store(service, sums);
+    }
+}
+
+} // namespace pollenward::upstream
--- a/src/upstream/worker_connection.cpp
+++ b/src/upstream/worker_connection.cpp
@@ -1,15 +1,13 @@
 #include "upstream/worker_connection.hpp"
 
 #include "core/runtime_timer.hpp"
-#include "upstream/cancel_request.hpp"
-#include "upstream/exchange_codec.hpp"
+#include "core/tcp_keepalive.hpp"
 #include "upstream/io_watchdog.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -30,34 +28,23 @@
     /// Bounds the memory that one response may take.
     constexpr std::uint64_t max_response_body = 16U << 20U;
 
-    /// Lets the kernel find a dead peer: probes after 5 s idle, and unanswered
-    /// data or probes end the connection after 10 s.
-    void set_keepalive(tcp::socket& socket)
-    {
-        const auto set = [&](int level, int name, int value) {
-            ::setsockopt(
-                socket.native_handle(), level, name, &value, sizeof value);
-        };
-        set(SOL_SOCKET, SO_KEEPALIVE, 1);
-        set(IPPROTO_TCP, TCP_KEEPIDLE, 5);
-        set(IPPROTO_TCP, TCP_KEEPINTVL, 2);
-        set(IPPROTO_TCP, TCP_KEEPCNT, 3);
-        set(IPPROTO_TCP, TCP_USER_TIMEOUT, 10000);
-    }
+    /// A dead peer is found after 5 s idle and three probes, and sent data
+    /// that nobody acknowledges ends the connection after 10 s.
+    constexpr core::keepalive_times worker_keepalive{ 5, 2, 3, 10000 };
 
     bool is_cancelled(const asio::cancellation_state& state)
     {
         return state.cancelled() != asio::cancellation_type::none;
     }
 
-    /// A response without a length ends with the connection, and a truncated
-    /// one could not be told from a whole one. An interim response (1xx) is not
-    /// the answer, and none is asked for.
+    /// An interim response (1xx) is not the answer, and none is asked for. A
+    /// truncated response without a length cannot be told from a whole one,
+    /// unless the worker is trusted to reset what it cuts off.
     template <class Parser>
-    bool is_whole_answer(const Parser& parser)
+    bool is_whole_answer(const Parser& parser, bool accepts_close_delimited)
     {
         constexpr unsigned first_final_status = 200;
-        return !parser.need_eof()
+        return (accepts_close_delimited || !parser.need_eof())
             && parser.get().result_int() >= first_final_status;
     }
 
@@ -115,7 +102,7 @@
     }
     boost::system::error_code ignored;
     this->socket.set_option(tcp::no_delay(true), ignored);
-    set_keepalive(this->socket);
+    core::set_keepalive(this->socket.native_handle(), worker_keepalive);
     this->reusable = true;
     co_return true;
 }
@@ -143,12 +130,11 @@
 }
 
 asio::awaitable<boost::system::error_code> worker_connection::write(
-    const forward_request& request)
+    const std::string& header, const std::string& body)
 {
-    const std::string header = encode_header(request, this->remote);
     boost::beast::buffers_suffix<std::array<asio::const_buffer, 2>> rest(
-        std::array<asio::const_buffer, 2>{ asio::buffer(header),
-            asio::buffer(request.get_message().get_body()) });
+        std::array<asio::const_buffer, 2>{
+            asio::buffer(header), asio::buffer(body) });
     while (asio::buffer_size(rest) > 0)
     {
         if (this->has_pending_input())
@@ -177,46 +163,59 @@
     co_return boost::system::error_code{};
 }
 
-asio::awaitable<exchange_result> worker_connection::read(
-    const forward_request& request, io_watchdog& watchdog)
+asio::awaitable<worker_connection::transfer_result> worker_connection::read(
+    const forward_request& request, const response_rules& rules,
+    io_watchdog& watchdog)
 {
     boost::beast::flat_buffer buffer;
-    http::response_parser<http::string_body> parser;
-    parser.eager(true);
-    parser.body_limit(max_response_body);
-    parser.skip(request.get_message().get_method() == "HEAD");
-    while (!parser.is_done())
+    for (int passed_over = 0;; ++passed_over)
     {
-        auto [failure, count] = co_await http::async_read_some(
-            this->socket, buffer, parser, token);
-        this->response_started = this->response_started || count > 0;
-        this->last_progress = core::runtime_clock::now();
-        const auto state = co_await asio::this_coro::cancellation_state;
-        const bool is_cut = is_cancelled(state) && !parser.is_done();
-        if (failure || watchdog.has_expired() || is_cut)
+        http::response_parser<http::string_body> parser;
+        parser.eager(true);
+        parser.body_limit(max_response_body);
+        parser.skip(request.get_message().get_method() == "HEAD");
+        while (!parser.is_done())
+        {
+            auto [failure, count] = co_await http::async_read_some(
+                this->socket, buffer, parser, token);
+            this->response_started = this->response_started || count > 0;
+            this->last_progress = core::runtime_clock::now();
+            const auto state = co_await asio::this_coro::cancellation_state;
+            const bool is_cut = is_cancelled(state) && !parser.is_done();
+            if (failure || watchdog.has_expired() || is_cut)
+            {
+                const auto kind
+                    = this->failure_kind(watchdog, is_cancelled(state));
+                co_return transfer_result{ std::nullopt,
+                    this->failed(kind, failure.message()) };
+            }
+        }
+        this->response_ended = true;
+        const auto& incoming = parser.get();
+        const bool names_request
+            = rules.names_request(incoming, request.get_id());
+        if (!is_whole_answer(parser, rules.accepts_close_delimited)
+            || (this->answered_early && !names_request))
         {
-            const auto kind = this->failure_kind(watchdog, is_cancelled(state));
-            co_return this->failed(kind, failure.message());
+            co_return transfer_result{ std::nullopt,
+                this->failed(attempt_result::broken_after_send,
+                    "the response has no certain end or came before the "
+                    "request") };
         }
+        const bool is_kept = incoming.keep_alive() && !parser.need_eof();
+        if (!names_request && is_kept
+            && passed_over < rules.max_foreign_responses)
+        {
+            continue;
+        }
+        this->reusable = is_kept && buffer.size() == 0 && !this->answered_early
+            && passed_over == 0 && !this->has_pending_input();
+        co_return transfer_result{ parser.release(), exchange_result() };
     }
-    this->response_ended = true;
-    const auto& incoming = parser.get();
-    const bool names_request = incoming["Request-Id"] == request.get_id().str();
-    if (!is_whole_answer(parser) || (this->answered_early && !names_request))
-    {
-        co_return this->failed(attempt_result::broken_after_send,
-            "the response has no certain end or came before the request");
-    }
-    auto result = decode_response(incoming, request.get_id(), this->remote);
-    this->reusable = incoming.keep_alive() && buffer.size() == 0
-        && !this->answered_early
-        && result.get_result() != attempt_result::broken_after_send
-        && !this->has_pending_input();
-    co_return result;
 }
 
-asio::awaitable<exchange_result> worker_connection::exchange_once(
-    const forward_request& request)
+asio::awaitable<worker_connection::transfer_result> worker_connection::transfer(
+    const forward_request& request, std::string header, response_rules rules)
 {
     this->reusable = false;
     this->response_started = false;
@@ -226,17 +225,19 @@
     this->last_progress = core::runtime_clock::now();
     io_watchdog watchdog(this->socket, co_await asio::this_coro::executor);
     watchdog.set_expiry(request.get_deadline());
-    const auto write_failure = co_await this->write(request);
-    exchange_result result;
+    const auto write_failure
+        = co_await this->write(header, request.get_message().get_body());
+    transfer_result result;
     if (write_failure || watchdog.has_expired())
     {
         const auto state = co_await asio::this_coro::cancellation_state;
-        result = this->failed(this->failure_kind(watchdog, is_cancelled(state)),
-            write_failure.message());
+        result.failure
+            = this->failed(this->failure_kind(watchdog, is_cancelled(state)),
+                write_failure.message());
     }
     else
     {
-        result = co_await this->read(request, watchdog);
+        result = co_await this->read(request, rules, watchdog);
     }
     if (!this->reusable)
     {
@@ -245,16 +246,4 @@
     co_return result;
 }
 
-asio::awaitable<exchange_result> worker_connection::exchange(
-    const forward_request& request)
-{
-    auto result = co_await this->exchange_once(request);
-    const auto kind = result.get_result();
-    if (kind == attempt_result::cancelled || kind == attempt_result::timed_out)
-    {
-        spawn_cancel(this->executor, this->remote, request.get_id());
-    }
-    co_return result;
-}
-
 } // namespace pollenward::upstream
--- a/src/upstream/worker_connection.hpp
+++ b/src/upstream/worker_connection.hpp
@@ -2,7 +2,10 @@
 
 #include "core/endpoint.hpp"
 #include "core/error.hpp"
+#include "core/ids.hpp"
 #include "core/runtime_clock.hpp"
+#include "upstream/cancel_request.hpp"
+#include "upstream/exchange_codec.hpp"
 #include "upstream/exchange_result.hpp"
 #include "upstream/forward_request.hpp"
 
@@ -11,12 +14,45 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstddef>
+#include <optional>
 #include <string>
+#include <utility>
 
 namespace pollenward::upstream {
 
 class io_watchdog;
 
+/// Translates requests and responses between this package's values and the
+/// header fields of one kind of worker. `names_request` tells whether a whole
+/// response belongs to the request.
+template <class Type>
+concept worker_codec
+    = requires(const forward_request& request, const core::worker_id& who,
+        const core::endpoint& remote, const worker_response& incoming) {
+          {
+              Type::encode_header(request, who, remote)
+          } -> std::same_as<std::string>;
+          {
+              Type::decode_response(incoming, request.get_id(), remote)
+          } -> std::same_as<exchange_result>;
+          {
+              Type::names_request(incoming, request.get_id())
+          } -> std::same_as<bool>;
+          // Whether a response without a length, ended by an orderly close, is
+          // whole.
+          {
+              Type::accepts_close_delimited
+          } -> std::convertible_to<bool>;
+          // Whether a worker is told by a request of its own to cancel.
+          {
+              Type::cancels_by_request
+          } -> std::convertible_to<bool>;
+          // Whole responses that name another request and are passed over.
+          {
+              Type::max_foreign_responses
+          } -> std::convertible_to<int>;
+      };
+
 /// Time without any progress after which an exchange counts as silent: 1 s or
 /// a third of the time to the deadline. It also bounds a connect.
 core::duration progress_limit(core::time_point deadline, core::time_point now);
@@ -38,12 +74,44 @@
     /// or the deadline passes after the send, the worker is told to cancel.
     /// Only the deadline bounds it. No operation is started after a
     /// cancellation, so that the caller's coroutine may go on without waiting.
+    template <worker_codec Codec = own_worker_codec>
     boost::asio::awaitable<exchange_result> exchange(
-        const forward_request& request);
+        const forward_request& request,
+        const core::worker_id& who = core::worker_id())
+    {
+        auto result = co_await this->exchange_once<Codec>(request, who);
+        const auto kind = result.get_result();
+        if (Codec::cancels_by_request
+            && (kind == attempt_result::cancelled
+                || kind == attempt_result::timed_out))
+        {
+            spawn_cancel(this->executor, this->remote, request.get_id());
+        }
+        co_return result;
+    }
 
     /// As exchange(), but the worker is not told to cancel.
+    template <worker_codec Codec = own_worker_codec>
     boost::asio::awaitable<exchange_result> exchange_once(
-        const forward_request& request);
+        const forward_request& request,
+        const core::worker_id& who = core::worker_id())
+    {
+        const response_rules rules{ Codec::accepts_close_delimited,
+            Codec::max_foreign_responses, &Codec::names_request };
+        auto read = co_await this->transfer(
+            request, Codec::encode_header(request, who, this->remote), rules);
+        if (!read.response)
+        {
+            co_return read.failure;
+        }
+        auto result = Codec::decode_response(
+            *read.response, request.get_id(), this->remote);
+        if (result.get_result() == attempt_result::broken_after_send)
+        {
+            this->close();
+        }
+        co_return result;
+    }
 
     const core::endpoint& get_remote() const { return this->remote; }
 
@@ -68,10 +136,27 @@
     bool has_pending_input();
 
 private:
+    /// What a codec says about the responses that it accepts.
+    struct response_rules {
+        bool accepts_close_delimited;
+        int max_foreign_responses;
+        bool (*names_request)(const worker_response&, const core::request_id&);
+    };
+
+    /// A whole response, or why there is none.
+    struct transfer_result {
+        std::optional<worker_response> response;
+        exchange_result failure;
+    };
+
+    /// Sends the encoded header and the body, and reads one whole response.
+    boost::asio::awaitable<transfer_result> transfer(
+        const forward_request& request, std::string header,
+        response_rules rules);
     boost::asio::awaitable<boost::system::error_code> write(
-        const forward_request& request);
-    boost::asio::awaitable<exchange_result> read(
-        const forward_request& request, io_watchdog& watchdog);
+        const std::string& header, const std::string& body);
+    boost::asio::awaitable<transfer_result> read(const forward_request& request,
+        const response_rules& rules, io_watchdog& watchdog);
     exchange_result failed(attempt_result result, std::string cause) const;
     attempt_result failure_kind(
         const io_watchdog& watchdog, bool is_cancelled) const;
--- /dev/null
+++ b/src/upstream/worker_placement.hpp
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "core/runtime_clock.hpp"
+#include "upstream/listed_worker.hpp"
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace pollenward::upstream {
+
+/// How far a worker is from this daemon.
+enum class distance { same_zone, same_region, other_region };
+
+/// A worker that may get a request, with what is known of it now.
+class placement_candidate {
+public:
+    /// `loss` is the probability that a request sent now is lost; `load` the
+    /// requests that run or wait there; `unused_for` the time since any daemon
+    /// of the zone sent it a request.
+    static placement_candidate make(listed_worker who, distance far,
+        double loss, double load, core::duration unused_for)
+    {
+        placement_candidate made;
+        made.who = std::move(who);
+        made.far = far;
+        made.loss = loss;
+        made.load = load;
+        made.unused_for = unused_for;
+        return made;
+    }
+
+    const listed_worker& get_worker() const { return this->who; }
+    distance get_distance() const { return this->far; }
+    double get_loss() const { return this->loss; }
+    double get_load() const { return this->load; }
+    core::duration get_unused_for() const { return this->unused_for; }
+
+    double get_slots() const
+    {
+        return static_cast<double>(this->who.get_slots().get());
+    }
+
+    /// Requests that it could start at once.
+    double get_free_slots() const
+    {
+        return std::max(0.0, this->get_slots() - this->load);
+    }
+
+    auto operator<=>(const placement_candidate&) const = default;
+
+private:
+    listed_worker who;
+    distance far = distance::same_zone;
+    double loss = 0;
+    double load = 0;
+    core::duration unused_for{};
+};
+
+using placement_candidates = std::vector<placement_candidate>;
+
+/// The costs that are weighed against each other, as shares of the worth of a
+/// request.
+struct placement_costs {
+    /// Traffic to another zone of the region, and to another region: what the
+    /// platform charges for some kilobytes, and the delay.
+    double other_zone = 0.06;
+    double other_region = 0.35;
+    /// A full worker that is nearly idle is better than a busy one.
+    double full_worker = 0.05;
+    /// A worker that was not used for this long gets the next request, unless
+    /// its loss is above `most_trial_loss`: what is known of it is too old,
+    /// and a sound worker that is passed over is lost capacity.
+    core::milliseconds trial_after{ 1300 };
+    double most_trial_loss = 0.5;
+    /// Share of the requests that go to such a worker.
+    double trial_share = 0.3;
+};
+
+/// The expected cost of sending a request to a worker. `service_share` is the
+/// expected service time as a share of the time in which an answer is worth
+/// most, `is_repeatable` tells that a lost request is sent elsewhere.
+double placement_cost(const placement_candidate& candidate, bool is_repeatable,
+    double service_share, const placement_costs& costs);
+
+/// The index of the worker that gets the request; nothing if there is none.
+/// Ties are broken by `random`, uniform over all values.
+std::optional<std::size_t> choose_placement(
+    const placement_candidates& candidates, bool is_repeatable,
+    double service_share, const placement_costs& costs, std::uint64_t random);
+
+} // namespace pollenward::upstream
