--- a/src/operators/configuration.cpp
+++ b/src/operators/configuration.cpp
@@ -60,11 +60,13 @@
         {
             const route& one = routes[i - 1];
             const route& two = routes[i];
-            if (one.get_method() == two.get_method()
+            if (one.get_host() == two.get_host()
+                && one.get_method() == two.get_method()
                 && one.get_path_prefix() == two.get_path_prefix())
             {
                 reasons.push_back(fault(
-                    "route " + one.get_method() + " " + one.get_path_prefix(),
+                    "route " + one.get_host() + " " + one.get_method() + " "
+                        + one.get_path_prefix(),
                     "is declared twice"));
             }
         }
