Answer what is left at the end of a drain and make distance a setting

Change: at the end of the drain the gate closes and the dispatcher ends all requests, whose callers get 503 or 502. The cost of another zone is a setting.

--- a/src/caller/admission_gate.hpp
+++ b/src/caller/admission_gate.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/post.hpp>
 
 #include <array>
+#include <atomic>
 #include <concepts>
 #include <cstdint>
 #include <memory>
@@ -91,6 +92,24 @@
             service, [&](service_state& state) { state.advance(present); });
     }
 
+    /// Refuses all requests that wait, and those that come from now on.
+    void close()
+    {
+        this->closed = true;
+        this->services.for_each([](service_state& state) {
+            for (const auto& [number, sleeper] : state.waiters)
+            {
+                if (!sleeper->decision)
+                {
+                    state.queue.withdraw(sleeper->ticket);
+                    state.decide(sleeper->ticket,
+                        admission_decision::refused(
+                            admission_refusal::queue_full));
+                }
+            }
+        });
+    }
+
     /// Requests of a service that wait or run, by rank.
     std::array<double, core::rank_count> demand(const core::service_id& service)
     {
@@ -195,6 +214,10 @@
     std::optional<admission_decision> offer(const core::service_id& service,
         const caller_request& request, const waiter_pointer& sleeper)
     {
+        if (this->closed)
+        {
+            return admission_decision::refused(admission_refusal::queue_full);
+        }
         const auto present = this->limits_of(service);
         return this->visit(service, [&](service_state& state) {
             sleeper->ticket = admission_ticket::make(++state.last_number,
@@ -242,6 +265,7 @@
 
     const Limits& limits;
     queue_bounds bounds;
+    std::atomic<bool> closed{ false };
     core::sharded_map<core::service_id, service_state> services;
 };
 
--- a/src/core/sharded_map.hpp
+++ b/src/core/sharded_map.hpp
@@ -88,6 +88,20 @@
         return visit(found->second);
     }
 
+    /// Runs `visit` on each stored value under its shard's lock.
+    template <class Visit>
+    void for_each(Visit visit)
+    {
+        for (shard& each : this->shards)
+        {
+            const std::lock_guard lock(each.mutex);
+            for (auto& entry : each.entries)
+            {
+                visit(entry.second);
+            }
+        }
+    }
+
     /// Removes the value and hands it over, or nothing if the key is absent.
     std::optional<Value> take(const Key& key)
     {
--- a/src/main/entry_daemon.hpp
+++ b/src/main/entry_daemon.hpp
@@ -92,7 +92,8 @@
               this->board)
         , guard(this->zone)
         , dispatcher(context.get_executor(), this->board, this->guard,
-              this->chosen.get_retry_terms())
+              this->chosen.get_retry_terms(),
+              this->chosen.get_placement_costs())
         , limits(this->board)
         , gate(this->limits)
         , upstreams{ *this }
@@ -150,7 +151,7 @@
             core::runtime_clock::now() + times.get_drain_limit());
         if (!is_idle)
         {
-            this->cut();
+            co_await this->end_requests();
         }
         this->configuration_watch.stop();
         this->worker_watch.stop();
@@ -224,6 +225,23 @@
             std::move(loop), boost::asio::detached);
     }
 
+    /// Answers what is left before the platform ends the process: a caller
+    /// learns more from "unknown" than from a connection that breaks.
+    boost::asio::awaitable<void> end_requests()
+    {
+        // An answer takes a millisecond; the process has 400 ms left.
+        constexpr core::milliseconds answer_time{ 150 };
+        const auto now = core::runtime_clock::now();
+        operators::write(operators::event::make("daemon.ending_requests")
+                             .with("count", this->callers.in_flight()));
+        this->gate.close();
+        this->dispatcher.end_by(now);
+        if (!co_await this->callers.wait_until_idle(now + answer_time))
+        {
+            this->cut();
+        }
+    }
+
     boost::asio::awaitable<fleet::message> answer(fleet::message received)
     {
         const auto* notice = std::get_if<fleet::guard_notice>(&received);
--- a/src/main/settings.cpp
+++ b/src/main/settings.cpp
@@ -349,6 +349,10 @@
         = reader.read_number("retries", "slack", standard.slack, 0, most_slack);
     made.retries.window
         = reader.read_duration("retries", "window", standard.window);
+    made.placement.other_zone = reader.read_number(
+        "placement", "other_zone", made.placement.other_zone, 0, 1);
+    made.placement.other_region = reader.read_number(
+        "placement", "other_region", made.placement.other_region, 0, 1);
     // The platform ends the process at this time after the first signal.
     const core::milliseconds grace = reader.read_duration(
         "daemon", "grace", made.drain_delay + made.drain_limit + exit_time);
--- a/src/main/settings.hpp
+++ b/src/main/settings.hpp
@@ -5,6 +5,7 @@
 #include "core/ids.hpp"
 #include "core/runtime_clock.hpp"
 #include "upstream/retry_allowance.hpp"
+#include "upstream/worker_placement.hpp"
 
 #include <compare>
 #include <map>
@@ -79,6 +80,13 @@
         return this->retries;
     }
 
+    /// What a request to a worker of another zone or region costs, as a share
+    /// of its worth.
+    const upstream::placement_costs& get_placement_costs() const
+    {
+        return this->placement;
+    }
+
     auto operator<=>(const settings& other) const = default;
 
 private:
@@ -96,6 +104,7 @@
     std::vector<core::endpoint> seeds;
     std::map<core::zone_id, core::region_id> zones;
     upstream::retry_terms retries;
+    upstream::placement_costs placement;
 };
 
 } // namespace pollenward::main
--- a/src/upstream/placing_dispatcher.hpp
+++ b/src/upstream/placing_dispatcher.hpp
@@ -78,6 +78,7 @@
         this->count_request(request.get_service());
         const auto shared = std::make_shared<flight>(
             co_await boost::asio::this_coro::executor, request);
+        const flight_entry entered(this->flights, shared);
         while (true)
         {
             if (!this->advance(shared))
@@ -99,6 +100,21 @@
         co_return this->conclude(*shared);
     }
 
+    /// Ends all requests at that time, also those that are under way: a send
+    /// without an answer by then has an unknown outcome.
+    void end_by(core::time_point time)
+    {
+        this->last_end = time;
+        for (const auto& [number, each] : this->flights.entries())
+        {
+            if (const auto shared = each.lock())
+            {
+                boost::asio::post(shared->wake.get_executor(),
+                    [shared] { shared->wake.cancel(); });
+            }
+        }
+    }
+
     /// Starts the allowance of each service anew.
     void set_terms(const retry_terms& changed)
     {
@@ -166,6 +182,31 @@
     };
 
     using shared_flight = std::shared_ptr<flight>;
+    using flight_table
+        = core::sharded_map<const flight*, std::weak_ptr<flight>>;
+
+    /// Lists a request while it is under way.
+    class flight_entry {
+    public:
+        flight_entry(flight_table& table, const shared_flight& shared)
+            : table(table)
+            , key(shared.get())
+        {
+            this->table.store(this->key, shared);
+        }
+        flight_entry(const flight_entry&) = delete;
+        flight_entry& operator=(const flight_entry&) = delete;
+        ~flight_entry() { this->table.erase(this->key); }
+
+    private:
+        flight_table& table;
+        const flight* key;
+    };
+
+    core::time_point end_of(const flight& mine) const
+    {
+        return std::min(mine.request.get_deadline(), this->last_end.load());
+    }
 
     /// Looks at what has ended and starts what is due. False when the request
     /// is decided.
@@ -204,7 +245,7 @@
             }
         }
         const auto now = core::runtime_clock::now();
-        const bool is_late = now >= mine.request.get_deadline();
+        const bool is_late = now >= this->end_of(mine);
         const auto progress = mine.progress();
         const bool has_good_answer
             = mine.answer && mine.answer->get_status() < first_server_error;
@@ -235,7 +276,7 @@
     {
         const auto second = time_of_second_send(
             mine.progress(), this->board.profile(mine.request.get_service()));
-        const auto deadline = mine.request.get_deadline();
+        const auto deadline = this->end_of(mine);
         // A second send that is due but was not paid for is not tried again.
         return second && *second > core::runtime_clock::now()
             ? std::min(*second, deadline)
@@ -497,6 +538,8 @@
     std::atomic<double> daemons{ 50 };
     connection_pool connections;
     core::sharded_map<core::service_id, retry_allowance> allowances;
+    flight_table flights;
+    std::atomic<core::time_point> last_end{ core::time_point::max() };
 };
 
 } // namespace pollenward::upstream
--- a/src/upstream/worker_placement.hpp
+++ b/src/upstream/worker_placement.hpp
@@ -81,6 +81,8 @@
     double most_repeatable_trial_loss = 0.6;
     /// Share of the requests that go to such a worker.
     double trial_share = 0.3;
+
+    auto operator<=>(const placement_costs&) const = default;
 };
 
 /// The expected cost of sending a request to a worker. `service_share` is the
--- a/tests/caller/admission_gate_test.cpp
+++ b/tests/caller/admission_gate_test.cpp
@@ -123,3 +123,30 @@
     CHECK_FALSE(decisions.back().get_ticket());
     runtime_clock::resume();
 }
+
+// Guards against requests that wait until a shutdown cuts them.
+TEST_CASE("a closed gate refuses what waits and what comes", "[caller]")
+{
+    two_slots limits;
+    gate_of_two gate(limits);
+    asio::io_context context;
+    int admitted = 0;
+    int refused = 0;
+    const auto run = [&]() -> asio::awaitable<void> {
+        const auto request
+            = request_of(core::rank::standard, std::chrono::hours(1));
+        const auto decision = co_await gate.admit(request);
+        (decision.get_ticket() ? admitted : refused) += 1;
+    };
+    for (int i = 0; i < 5; ++i)
+    {
+        asio::co_spawn(asio::make_strand(context), run(), asio::detached);
+    }
+    context.poll();
+    CHECK(admitted == 2);
+    CHECK(refused == 0);
+    gate.close();
+    asio::co_spawn(asio::make_strand(context), run(), asio::detached);
+    context.poll();
+    CHECK(refused == 4);
+}
--- a/tests/upstream/placing_dispatcher_test.cpp
+++ b/tests/upstream/placing_dispatcher_test.cpp
@@ -221,3 +221,29 @@
     };
     CHECK(run_to_end(context, scenario()));
 }
+
+// Guards against requests that are cut without an answer at the end of a
+// shutdown.
+TEST_CASE("all requests end by the time that is set for them", "[upstream]")
+{
+    asio::io_context context;
+    placed_fleet fleet(
+        context, 2, [](int, const std::string&) { return "hang"; });
+    const auto scenario = [&]() -> asio::awaitable<dispatch_result> {
+        using namespace asio::experimental::awaitable_operators;
+        const auto request = make_request("a", false);
+        const auto stop = [&]() -> asio::awaitable<void> {
+            while (fleet.arrivals == 0)
+            {
+                co_await wait_for(core::milliseconds(5));
+            }
+            fleet.sender.end_by(core::runtime_clock::now());
+        };
+        auto result = co_await (fleet.sender.dispatch(request) && stop());
+        co_await wait_for(core::milliseconds(50));
+        co_return result;
+    };
+    const auto result = run_to_end(context, scenario());
+    CHECK_FALSE(result.get_response());
+    CHECK(result.get_certainty() == run_certainty::unknown);
+}
