--- a/src/caller/http_server.hpp
+++ b/src/caller/http_server.hpp
@@ -10,6 +10,7 @@
 #include "core/endpoint.hpp"
 #include "core/error.hpp"
 #include "core/runtime_timer.hpp"
+#include "operators/event.hpp"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -352,6 +353,12 @@
         caller_link& link, const http_parser& incoming, caller_answer answer)
     {
         const http_request& message = incoming.get();
+        operators::write(
+            operators::event::make("request.refused")
+                .with("request", id_for_answer(message))
+                .with("target", to_view(message.target()))
+                .with("status", answer.get_outcome().get_status())
+                .with("reason", answer.get_outcome().get_reason()));
         co_return co_await this->write(link,
             Dialect::to_response(answer, message, id_for_answer(message)),
             false);
--- a/src/caller/request_flow.hpp
+++ b/src/caller/request_flow.hpp
@@ -5,6 +5,7 @@
 #include "caller/caller_request.hpp"
 #include "caller/claim_grant.hpp"
 #include "caller/flow_answers.hpp"
+#include "operators/event.hpp"
 #include "upstream/dispatch_result.hpp"
 #include "upstream/forward_request.hpp"
 
@@ -84,6 +85,7 @@
         {
             auto answer = co_await this->run(request, state);
             this->close(request, state, answer.get_outcome().get_kind());
+            write_end(request, state, answer.get_outcome());
             co_return answer;
         }
         catch (...)
@@ -150,6 +152,22 @@
         co_return answer_of(result, is_late);
     }
 
+    static void write_end(const caller_request& request, const progress& state,
+        const outcome& ended)
+    {
+        operators::write(
+            operators::event::make("request.ended")
+                .with("request", request.get_id())
+                .with("kind", request.get_kind().get_id())
+                .with("service", request.get_kind().get_service())
+                .with("rank", core::to_string(request.get_kind().get_rank()))
+                .with("outcome", to_string(ended.get_kind()))
+                .with("status", ended.get_status())
+                .with("reason", ended.get_reason())
+                .with("admitted", state.ticket.has_value())
+                .with("ms", core::runtime_clock::now() - state.started_at));
+    }
+
     /// Settles the claim, gives the capacity back and records the outcome.
     void close(
         const caller_request& request, const progress& state, outcome_kind kind)
--- a/src/operators/ingress_limits.hpp
+++ b/src/operators/ingress_limits.hpp
@@ -31,8 +31,8 @@
     auto operator<=>(const ingress_limits&) const = default;
 
 private:
-    core::byte_count header_bytes{ 16 * 1024 };
-    core::byte_count body_bytes{ 1024 * 1024 };
+    core::byte_count header_bytes{ 16'384 };
+    core::byte_count body_bytes{ 1'048'576 };
     core::milliseconds header_time{ 10'000 };
     core::milliseconds idle{ 60'000 };
 };
