--- a/src/operators/configuration.cpp
+++ b/src/operators/configuration.cpp
@@ -64,9 +64,8 @@
                 && one.get_method() == two.get_method()
                 && one.get_path_prefix() == two.get_path_prefix())
             {
-                reasons.push_back(fault(
-                    "route " + one.get_host() + " " + one.get_method() + " "
-                        + one.get_path_prefix(),
+                reasons.push_back(fault("route " + one.get_host() + " "
+                        + one.get_method() + " " + one.get_path_prefix(),
                     "is declared twice"));
             }
         }
--- a/src/upstream/worker_placement.cpp
+++ b/src/upstream/worker_placement.cpp
@@ -48,8 +48,7 @@
             const placement_candidate& each = candidates[i];
             const bool is_due = each.get_distance() == distance::same_zone
                 && each.get_unused_for() >= costs.trial_after
-                && each.get_loss() <= most_loss
-                && each.get_free_slots() >= 1;
+                && each.get_loss() <= most_loss && each.get_free_slots() >= 1;
             if (is_due
                 && (!longest
                     || each.get_unused_for()
--- a/tests/process/cluster.cpp
+++ b/tests/process/cluster.cpp
@@ -3,7 +3,6 @@
 #include "process/eventually.hpp"
 #include "process/local_resources.hpp"
 
-
 #include <filesystem>
 #include <fstream>
 
