--- a/src/caller/caller_limits.hpp
+++ b/src/caller/caller_limits.hpp
@@ -11,18 +11,6 @@
 /// What a caller may send before a request is handled, and in which time.
 class caller_limits {
 public:
-    static caller_limits make(std::uint32_t header_bytes,
-        core::duration header_time, core::duration body_time,
-        core::duration idle)
-    {
-        caller_limits made;
-        made.header_bytes = header_bytes;
-        made.header_time = header_time;
-        made.body_time = body_time;
-        made.idle = idle;
-        return made;
-    }
-
     static caller_limits make(const operators::ingress_limits& declared)
     {
         caller_limits made;
--- a/src/main/entry_limits.hpp
+++ b/src/main/entry_limits.hpp
@@ -27,7 +27,7 @@
     operators::rank_shares minimum_shares(
         const core::service_id& /*service*/) const
     {
-        return { 0, 0.2, 0.15 };
+        return { 0, standard_share, background_share };
     }
 
     void count(const core::service_id& service, int change)
@@ -37,6 +37,11 @@
     }
 
 private:
+    /// A kind that is served less than a quarter as often as the others counts
+    /// as starved; these leave two thirds of the grants to the urgent rank.
+    static constexpr double standard_share = 0.2;
+    static constexpr double background_share = 0.15;
+
     const upstream::worker_board& board;
     core::sharded_map<core::service_id, int> in_use;
 };
--- a/src/main/zone_link.cpp
+++ b/src/main/zone_link.cpp
@@ -123,12 +123,6 @@
     return top.empty() ? std::nullopt : this->find(top.front());
 }
 
-std::optional<core::daemon_id> zone_link::home() const
-{
-    const auto chosen = this->choose_home(core::runtime_clock::now());
-    return chosen ? std::optional(chosen->get_id()) : std::nullopt;
-}
-
 fleet::zone_report zone_link::make_report(core::time_point now)
 {
     std::vector<fleet::worker_summary> workers;
--- a/src/main/zone_link.hpp
+++ b/src/main/zone_link.hpp
@@ -53,7 +53,6 @@
     void tell(const core::daemon_id& peer, fleet::message content);
 
     std::vector<fleet::member> members() const;
-    std::optional<core::daemon_id> home() const;
 
 private:
     boost::asio::awaitable<void> report_all();
--- a/src/upstream/forward_request.hpp
+++ b/src/upstream/forward_request.hpp
@@ -84,13 +84,6 @@
         return next;
     }
 
-    forward_request with_service(core::service_id changed) const
-    {
-        forward_request next = *this;
-        next.service = std::move(changed);
-        return next;
-    }
-
     auto operator<=>(const forward_request&) const = default;
 
 private:
--- a/src/upstream/placing_dispatcher.hpp
+++ b/src/upstream/placing_dispatcher.hpp
@@ -93,7 +93,6 @@
                 = co_await boost::asio::this_coro::cancellation_state;
             if (state.cancelled() != boost::asio::cancellation_type::none)
             {
-                shared->is_abandoned = true;
                 break;
             }
         }
@@ -158,7 +157,6 @@
         run_certainty certainty = run_certainty::not_run;
         core::error cause = core::error::make(
             "choose worker", "self", "no worker may get the request");
-        bool is_abandoned = false;
 
         send_progress progress() const
         {
