Keep missing workers after an outage only if their entries lapsed together

Workers that left meanwhile (4.07 s) were kept for return_time (2 s) after store.regained, which itself came up to 2 s after the return (pause 1 s, call limit 1 s; a lost call that waits for changes 3.5 s). Requests reached them at 17.0 s and 17.05 s, just beyond the 4 s after which a daemon is bound again.

Ruled out: a lost watch event (the other daemons saw the worker leave), an older entry that replaced a newer one, a late send (the send started at 16.99 s).

Change: entries are kept only if more than a quarter of the workers is missing since the end of the outage; a lost store is asked with no wait and pauses of at most 0.5 s; kept workers are dropped when due, not at the next 500 ms tick. A name that is removed and entered in one batch stays.

--- a/src/main/entry_daemon.hpp
+++ b/src/main/entry_daemon.hpp
@@ -26,6 +26,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/strand.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <random>
 #include <string>
@@ -309,7 +310,8 @@
         constexpr core::milliseconds interval{ 500 };
         while (true)
         {
-            co_await core::wait_until(core::runtime_clock::now() + interval);
+            co_await core::wait_until(
+                this->next_maintenance(core::runtime_clock::now(), interval));
             const auto now = core::runtime_clock::now();
             this->workers.expire();
             this->dispatcher.get_connections().close_expired(now);
@@ -321,6 +323,15 @@
         }
     }
 
+    /// After `interval`, or when workers that lapsed are due to be dropped.
+    core::time_point next_maintenance(
+        core::time_point now, core::milliseconds interval)
+    {
+        const auto expiry = this->workers.get_expiry();
+        const auto latest = now + interval;
+        return expiry > now ? std::min(expiry, latest) : latest;
+    }
+
     boost::asio::io_context& context;
     settings chosen;
     /// What reload() may replace.
--- a/src/main/entry_intake.cpp
+++ b/src/main/entry_intake.cpp
@@ -39,19 +39,22 @@
     const std::lock_guard lock(this->mutex);
     const auto now = core::runtime_clock::now();
     std::set<std::string> names;
+    std::set<std::string> removed;
     for (const auto& each : received.get_objects())
     {
         if (each.get_value())
         {
             names.insert(each.get_name());
+            removed.erase(each.get_name());
             this->put(each.get_name(), *each.get_value());
         }
         else if (const auto* gone = this->known.find(each.get_name()))
         {
             operators::write(describe("worker.removed", *gone));
-            this->known.remove(each.get_name(), now);
+            removed.insert(each.get_name());
         }
     }
+    this->known.remove({ removed.begin(), removed.end() }, now);
     if (received.get_status() == platform::listing_status::complete)
     {
         this->known.keep_only(names, now);
@@ -74,6 +77,12 @@
         operators::event::make("store.regained").with("kind", "workers"));
 }
 
+core::time_point worker_intake::get_expiry()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->known.get_expiry();
+}
+
 void worker_intake::expire()
 {
     const std::lock_guard lock(this->mutex);
--- a/src/main/entry_intake.hpp
+++ b/src/main/entry_intake.hpp
@@ -74,6 +74,8 @@
 
     /// Drops workers that did not come back after an outage of the store.
     void expire();
+    /// When expire() is due; in the past if nothing is waited for.
+    core::time_point get_expiry();
 
 private:
     void put(const std::string& name, const upstream::listed_worker& entry);
--- a/src/platform/listing_watch.hpp
+++ b/src/platform/listing_watch.hpp
@@ -18,8 +18,9 @@
     core::milliseconds wait{ 2500 };
     /// Pause after changes, so that a burst of them takes one call.
     core::milliseconds settle{ 400 };
-    /// Longest pause after a failed call.
-    core::milliseconds longest_pause{ 1000 };
+    /// Longest pause after a failed call. With the time limit of a call, it
+    /// bounds how late the return of the store is noticed.
+    core::milliseconds longest_pause{ 500 };
 };
 
 /// Keeps a handler up to date with the objects of one kind: lists them once
@@ -51,7 +52,7 @@
             else
             {
                 received = co_await this->store.template watch<Value>(
-                    this->seen, this->times.wait);
+                    this->seen, this->next_wait());
             }
             if (this->stopped)
             {
@@ -68,6 +69,13 @@
     void stop() { this->stopped = true; }
 
 private:
+    /// A lost store is asked for an answer at once, so that its return is
+    /// noticed.
+    core::milliseconds next_wait() const
+    {
+        return this->is_lost ? core::milliseconds::zero() : this->times.wait;
+    }
+
     /// Returns the pause before the next call.
     core::milliseconds take(const listing<Value>& received)
     {
--- a/src/upstream/worker_register.hpp
+++ b/src/upstream/worker_register.hpp
@@ -3,6 +3,8 @@
 #include "core/runtime_clock.hpp"
 #include "upstream/listed_worker.hpp"
 
+#include <algorithm>
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
@@ -11,17 +13,22 @@
 namespace pollenward::upstream {
 
 /// Keeps the workers that the platform lists. Entries are removed when workers
-/// fall silent, also when only the platform was away: what is missing just
-/// after it returned is kept until the workers had time to come back. Not
-/// thread-safe.
+/// fall silent, also when only the platform was away: if a large part is
+/// missing just after it returned, what is missing is kept until the workers
+/// had time to come back. Not thread-safe.
 class worker_register {
 public:
     /// Time that workers need to enter themselves again after an outage.
     static constexpr core::seconds return_time{ 2 };
+    /// Part of the workers above which their entries lapsed together; workers
+    /// that leave by themselves are fewer, and are not kept.
+    static constexpr double lapsed_part = 0.25;
 
     void on_outage_end(core::time_point now)
     {
         this->kept_until = now + return_time;
+        this->known_at_outage_end = this->entries.size();
+        this->missing_since = 0;
     }
 
     /// Takes an entry, unless an entry that was written later is known.
@@ -36,19 +43,26 @@
         }
     }
 
-    void remove(const std::string& name, core::time_point now)
+    /// Removes workers whose entries were removed at the same time.
+    void remove(const std::vector<std::string>& names, core::time_point now)
     {
-        const auto known = this->entries.find(name);
-        if (known == this->entries.end())
+        const bool is_lapse = this->is_lapse(names, now);
+        for (const std::string& name : names)
         {
-            return;
-        }
-        if (now < this->kept_until)
-        {
-            known->second.is_missing = true;
-            return;
+            const auto known = this->entries.find(name);
+            if (known == this->entries.end())
+            {
+                continue;
+            }
+            if (is_lapse)
+            {
+                known->second.is_missing = true;
+            }
+            else
+            {
+                this->entries.erase(known);
+            }
         }
-        this->entries.erase(known);
     }
 
     /// Removes what a complete list does not name.
@@ -63,10 +77,7 @@
                 absent.push_back(name);
             }
         }
-        for (const std::string& name : absent)
-        {
-            this->remove(name, now);
-        }
+        this->remove(absent, now);
     }
 
     /// Removes what did not come back in time; true if there was any.
@@ -81,6 +92,9 @@
         }) != 0;
     }
 
+    /// When expire() is due.
+    core::time_point get_expiry() const { return this->kept_until; }
+
     std::vector<listed_worker> workers() const
     {
         std::vector<listed_worker> all;
@@ -104,8 +118,25 @@
         bool is_missing = false;
     };
 
+    bool is_lapse(const std::vector<std::string>& names, core::time_point now)
+    {
+        if (now >= this->kept_until)
+        {
+            return false;
+        }
+        this->missing_since += static_cast<std::size_t>(std::count_if(
+            names.begin(), names.end(), [this](const std::string& name) {
+                return this->entries.count(name) != 0;
+            }));
+        return static_cast<double>(this->missing_since)
+            > lapsed_part * static_cast<double>(this->known_at_outage_end);
+    }
+
     std::map<std::string, held> entries;
     core::time_point kept_until = core::time_point::min();
+    std::size_t known_at_outage_end = 0;
+    /// Entries that were missing since the end of the last outage.
+    std::size_t missing_since = 0;
 };
 
 } // namespace pollenward::upstream
--- a/tests/platform/listing_watch_test.cpp
+++ b/tests/platform/listing_watch_test.cpp
@@ -35,9 +35,10 @@
 
     template <class Value>
     asio::awaitable<listing<Value>> watch(
-        store_revision after, core::milliseconds /*wait*/)
+        store_revision after, core::milliseconds wait)
     {
         this->calls.push_back("watch " + std::to_string(after.get()));
+        this->waits.push_back(wait);
         co_return this->next();
     }
 
@@ -54,6 +55,7 @@
 
     std::deque<numbers> replies;
     std::vector<std::string> calls;
+    std::vector<core::milliseconds> waits;
     std::function<void()> stop;
 };
 
@@ -130,3 +132,19 @@
         == std::vector<std::string>{ "got 1", "lost", "regained" });
     CHECK(store.calls[3] == "watch 7");
 }
+
+// Guards against a return of the store that is noticed seconds late, because a
+// call that waits for changes is silent like one that is lost.
+TEST_CASE("a lost store is asked for an answer at once", "[platform]")
+{
+    scripted_store store;
+    event_notes handler;
+    store.replies
+        = { make(listing_status::complete, 7, {}), numbers::failed({}),
+              make(listing_status::changes, 8, {}), numbers::failed({}) };
+    play(store, handler);
+    const core::milliseconds waits(10);
+    CHECK(store.waits
+        == std::vector<core::milliseconds>{
+            waits, core::milliseconds::zero(), waits });
+}
