Split the placing dispatcher and share second sends by the known fleet

request_flight (a request and its sends) and service_allowances move out of placing_dispatcher.hpp (543 to 420 lines), no change of behaviour there.

Cause of the change in service_allowances: a daemon divided the slack by 50 until the store had listed the others, and an allowance kept the number of its first request. A restart of all 130 daemons of the larger deployment could spend 130 * 212/50/2 = 276 second sends at once, slack 212 (worked out, not seen in a run).

--- a/src/main/entry_daemon.hpp
+++ b/src/main/entry_daemon.hpp
@@ -165,7 +165,7 @@
     void reload(const settings& next)
     {
         this->in_force.store(next);
-        this->dispatcher.set_terms(next.get_retry_terms());
+        this->dispatcher.get_allowances().set_terms(next.get_retry_terms());
     }
 
     void cut()
@@ -291,7 +291,8 @@
                     || each.get_value()->get_id() == this->chosen.get_id();
             }
         }
-        this->dispatcher.set_daemons(static_cast<double>(members.size()));
+        this->dispatcher.get_allowances().set_daemons(
+            static_cast<double>(members.size()));
         this->zone.set_members(std::move(members));
         return is_listed;
     }
--- a/src/upstream/placing_dispatcher.hpp
+++ b/src/upstream/placing_dispatcher.hpp
@@ -3,26 +3,23 @@
 #include "core/ids.hpp"
 #include "core/runtime_timer.hpp"
 #include "core/sharded_map.hpp"
-#include "core/sharded_snapshot.hpp"
 #include "operators/event.hpp"
 #include "upstream/connection_pool.hpp"
 #include "upstream/dispatch_result.hpp"
 #include "upstream/dispatcher.hpp"
-#include "upstream/exchange_result.hpp"
 #include "upstream/forward_request.hpp"
-#include "upstream/retry_allowance.hpp"
+#include "upstream/request_flight.hpp"
 #include "upstream/send_plan.hpp"
+#include "upstream/service_allowances.hpp"
 #include "upstream/worker_board.hpp"
 
 #include <boost/asio/bind_cancellation_slot.hpp>
-#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
 #include <atomic>
-#include <deque>
 #include <exception>
 #include <memory>
 #include <utility>
@@ -65,20 +62,20 @@
         placement_costs costs = {}, dispatch_limits limits = {})
         : board(board)
         , crashes(crashes)
-        , terms(terms)
         , costs(costs)
         , limits(limits)
         , connections(std::move(executor), limits.idle_connection_time)
+        , allowances(terms)
     {
     }
 
     boost::asio::awaitable<dispatch_result> dispatch(
         const forward_request& request)
     {
-        this->count_request(request.get_service());
-        const auto shared = std::make_shared<flight>(
+        this->allowances.count_request(request.get_service());
+        const auto shared = std::make_shared<request_flight>(
             co_await boost::asio::this_coro::executor, request);
-        const flight_entry entered(this->flights, shared);
+        const flight_table::entry entered(this->flights, shared);
         while (true)
         {
             if (!this->advance(shared))
@@ -104,104 +101,14 @@
     void end_by(core::time_point time)
     {
         this->last_end = time;
-        for (const auto& [number, each] : this->flights.entries())
-        {
-            if (const auto shared = each.lock())
-            {
-                boost::asio::post(shared->wake.get_executor(),
-                    [shared] { shared->wake.cancel(); });
-            }
-        }
+        this->flights.wake_all();
     }
 
-    /// Starts the allowance of each service anew.
-    void set_terms(const retry_terms& changed)
-    {
-        this->terms.store(changed);
-        this->allowances.erase_if(
-            [](const auto&, const auto&) { return true; });
-    }
-
-    /// The number of daemons that share the allowance for second sends.
-    void set_daemons(double count) { this->daemons = count; }
-
+    service_allowances& get_allowances() { return this->allowances; }
     connection_pool& get_connections() { return this->connections; }
 
 private:
-    /// One send of a request to a worker.
-    struct send {
-        listed_worker who;
-        core::time_point started_at;
-        boost::asio::cancellation_signal cancel;
-        /// The signal reaches a coroutine only once it has started.
-        bool is_cancelled = false;
-        std::optional<exchange_result> result;
-        /// Its end has been looked at.
-        bool is_settled = false;
-    };
-
-    /// A request and all its sends. Used on one strand only.
-    struct flight {
-        flight(const boost::asio::any_io_executor& executor,
-            const forward_request& request)
-            : wake(executor)
-            , request(request)
-        {
-        }
-
-        core::runtime_timer wake;
-        forward_request request;
-        std::deque<send> sends;
-        std::vector<core::worker_id> tried;
-        std::optional<response_message> answer;
-        run_certainty certainty = run_certainty::not_run;
-        core::error cause = core::error::make(
-            "choose worker", "self", "no worker may get the request");
-
-        send_progress progress() const
-        {
-            send_progress now;
-            now.is_idempotent = this->request.is_idempotent();
-            now.max_sends = this->request.get_max_attempts();
-            now.deadline = this->request.get_deadline();
-            for (const send& each : this->sends)
-            {
-                const bool is_waiting = !each.result;
-                const bool may_have_run = is_waiting
-                    || certainty_of(each.result->get_result())
-                        != run_certainty::not_run;
-                now.sends += may_have_run ? 1 : 0;
-                now.waiting += is_waiting ? 1 : 0;
-                now.last_sent_at
-                    = is_waiting ? each.started_at : now.last_sent_at;
-            }
-            return now;
-        }
-    };
-
-    using shared_flight = std::shared_ptr<flight>;
-    using flight_table
-        = core::sharded_map<const flight*, std::weak_ptr<flight>>;
-
-    /// Lists a request while it is under way.
-    class flight_entry {
-    public:
-        flight_entry(flight_table& table, const shared_flight& shared)
-            : table(table)
-            , key(shared.get())
-        {
-            this->table.store(this->key, shared);
-        }
-        flight_entry(const flight_entry&) = delete;
-        flight_entry& operator=(const flight_entry&) = delete;
-        ~flight_entry() { this->table.erase(this->key); }
-
-    private:
-        flight_table& table;
-        const flight* key;
-    };
-
-    core::time_point end_of(const flight& mine) const
+    core::time_point end_of(const request_flight& mine) const
     {
         return std::min(mine.request.get_deadline(), this->last_end.load());
     }
@@ -210,10 +117,10 @@
     /// is decided.
     bool advance(const shared_flight& shared)
     {
-        flight& mine = *shared;
+        request_flight& mine = *shared;
         bool has_failed = mine.sends.empty();
         bool may_repeat = mine.sends.empty();
-        for (send& each : mine.sends)
+        for (flight_send& each : mine.sends)
         {
             if (!each.result || each.is_settled)
             {
@@ -263,14 +170,15 @@
 
     static constexpr unsigned first_server_error = 500;
 
-    bool is_worth_repeating(const flight& mine, const send& answered) const
+    bool is_worth_repeating(
+        const request_flight& mine, const flight_send& answered) const
     {
         const auto progress = mine.progress();
         return answered.result->get_status() >= first_server_error
             && progress.is_idempotent && progress.sends < progress.max_sends;
     }
 
-    core::time_point next_step(const flight& mine) const
+    core::time_point next_step(const request_flight& mine) const
     {
         const auto second = time_of_second_send(
             mine.progress(), this->board.profile(mine.request.get_service()));
@@ -283,7 +191,7 @@
 
     void start_send(const shared_flight& shared, core::time_point now)
     {
-        flight& mine = *shared;
+        request_flight& mine = *shared;
         const auto& service = mine.request.get_service();
         const bool is_first = mine.sends.empty();
         const auto candidates
@@ -295,7 +203,7 @@
             = choose_placement(candidates, mine.request.is_idempotent(),
                 core::to_seconds(profile.expected()) / target, this->costs,
                 random_bits());
-        if (!chosen || (!is_first && !this->take_send(service)))
+        if (!chosen || (!is_first && !this->allowances.take_send(service)))
         {
             return;
         }
@@ -311,7 +219,7 @@
                              .with("candidates", candidates.size()));
         mine.tried.push_back(who);
         mine.sends.emplace_back();
-        send& begun = mine.sends.back();
+        flight_send& begun = mine.sends.back();
         begun.who = place.get_worker();
         begun.started_at = now;
         this->board.begin(who, now);
@@ -330,7 +238,7 @@
         shared_flight shared, std::size_t index)
     {
         co_await boost::asio::this_coro::throw_if_cancelled(false);
-        send& mine = shared->sends[index];
+        flight_send& mine = shared->sends[index];
         std::string failure;
         try
         {
@@ -352,7 +260,7 @@
     }
 
     boost::asio::awaitable<exchange_result> exchange(
-        const forward_request& request, send& mine)
+        const forward_request& request, flight_send& mine)
     {
         const worker& who = mine.who.get_worker();
         const auto now = core::runtime_clock::now();
@@ -390,7 +298,7 @@
 
     /// What the end of a send shows about its worker.
     std::optional<trace_state> evidence_of(
-        const forward_request& request, const send& ended) const
+        const forward_request& request, const flight_send& ended) const
     {
         const auto result = ended.result->get_result();
         switch (result)
@@ -419,7 +327,7 @@
         return was_late ? std::optional(trace_state::failed) : std::nullopt;
     }
 
-    void record_end(flight& mine, const send& ended)
+    void record_end(request_flight& mine, const flight_send& ended)
     {
         const auto now = core::runtime_clock::now();
         const auto& service = mine.request.get_service();
@@ -482,9 +390,9 @@
         }
     }
 
-    dispatch_result conclude(flight& mine)
+    dispatch_result conclude(request_flight& mine)
     {
-        for (send& each : mine.sends)
+        for (flight_send& each : mine.sends)
         {
             if (!each.result)
             {
@@ -499,43 +407,12 @@
             : dispatch_result::failed(mine.certainty, mine.cause);
     }
 
-    void count_request(const core::service_id& service)
-    {
-        this->visit_allowance(
-            service, [](retry_allowance& mine) { mine = mine.with_request(); });
-    }
-
-    bool take_send(const core::service_id& service)
-    {
-        return this->visit_allowance(service, [](retry_allowance& mine) {
-            const bool is_paid = mine.allows_send();
-            mine = mine.with_send();
-            return is_paid;
-        });
-    }
-
-    template <class Visit>
-    auto visit_allowance(const core::service_id& service, Visit visit)
-    {
-        return this->allowances.visit(
-            service,
-            [this] {
-                return retry_allowance::make(
-                    this->terms.read(
-                        [](const retry_terms& now) { return now; }),
-                    this->daemons.load());
-            },
-            visit);
-    }
-
     worker_board& board;
     Crashes& crashes;
-    core::sharded_snapshot<retry_terms> terms;
     placement_costs costs;
     dispatch_limits limits;
-    std::atomic<double> daemons{ 50 };
     connection_pool connections;
-    core::sharded_map<core::service_id, retry_allowance> allowances;
+    service_allowances allowances;
     flight_table flights;
     std::atomic<core::time_point> last_end{ core::time_point::max() };
 };
--- a/src/upstream/retry_allowance.hpp
+++ b/src/upstream/retry_allowance.hpp
@@ -28,10 +28,18 @@
     static retry_allowance make(const retry_terms& terms, double daemons)
     {
         retry_allowance made;
-        made.earned_per_request = terms.ratio * earned_share;
-        made.most = std::max(1.0, terms.slack / std::max(daemons, 1.0));
-        made.sends = made.most / 2;
-        return made;
+        made.sends = most_of(terms, daemons) / 2;
+        return made.shared_by(terms, daemons);
+    }
+
+    /// The same savings when another number of daemons shares the slack.
+    retry_allowance shared_by(const retry_terms& terms, double daemons) const
+    {
+        retry_allowance next = *this;
+        next.earned_per_request = terms.ratio * earned_share;
+        next.most = most_of(terms, daemons);
+        next.sends = std::min(next.sends, next.most);
+        return next;
     }
 
     retry_allowance with_request() const
@@ -59,6 +67,11 @@
     /// window than their second sends.
     static constexpr double earned_share = 0.9;
 
+    static double most_of(const retry_terms& terms, double daemons)
+    {
+        return std::max(1.0, terms.slack / std::max(daemons, 1.0));
+    }
+
     double earned_per_request = 0;
     double most = 1;
     double sends = 0;
