--- a/src/caller/http_server.hpp
+++ b/src/caller/http_server.hpp
@@ -10,6 +10,7 @@
 #include "core/endpoint.hpp"
 #include "core/error.hpp"
 #include "core/runtime_timer.hpp"
+#include "core/tcp_listener.hpp"
 #include "operators/event.hpp"
 
 #include <boost/asio/as_tuple.hpp>
@@ -37,9 +38,6 @@
 inline constexpr core::seconds write_limit{ 30 };
 /// How long a refused caller may take to close its side.
 inline constexpr core::seconds close_limit{ 2 };
-/// Pause after a failed accept. The usual cause, no free file descriptor,
-/// does not go away at once, and the loop must not spin.
-inline constexpr core::milliseconds accept_pause{ 100 };
 
 /// Translates between the header fields of one kind of caller and the values
 /// of this package. `Router` is what the dialect looks routes up in.
@@ -84,8 +82,7 @@
 public:
     http_server(boost::asio::io_context& context, const Router& routes,
         Handler& handler)
-        : context(context)
-        , acceptor(boost::asio::make_strand(context))
+        : listener(context)
         , links(context)
         , routes(routes)
         , handler(handler)
@@ -96,50 +93,20 @@
     /// cannot be bound.
     bool listen(const core::endpoint& endpoint, core::error& reason)
     {
-        namespace asio = boost::asio;
-        boost::system::error_code failure;
-        const asio::ip::tcp::endpoint local(
-            asio::ip::make_address(endpoint.get_address(), failure),
-            endpoint.get_port());
-        const auto failed = [&](const char* step) {
-            reason = core::error::make(step, endpoint.str(), failure.message());
-            return false;
-        };
-        this->acceptor.open(local.protocol(), failure);
-        if (failure)
-        {
-            return failed("open caller listener");
-        }
-        this->acceptor.set_option(
-            asio::socket_base::reuse_address(true), failure);
-        this->acceptor.bind(local, failure);
-        if (failure)
-        {
-            return failed("bind caller listener");
-        }
-        this->acceptor.listen(
-            asio::socket_base::max_listen_connections, failure);
-        if (failure)
+        if (!this->listener.listen(endpoint, reason))
         {
-            return failed("listen for callers");
+            return false;
         }
-        this->port = this->acceptor.local_endpoint().port();
-        asio::co_spawn(
-            this->acceptor.get_executor(), this->accept_all(), asio::detached);
+        boost::asio::co_spawn(this->listener.get_executor(), this->accept_all(),
+            boost::asio::detached);
         return true;
     }
 
     /// The port that listen() bound.
-    std::uint16_t get_port() const { return this->port; }
+    std::uint16_t get_port() const { return this->listener.get_port(); }
 
     /// Closes the listener; open connections go on.
-    void stop_accepting()
-    {
-        boost::asio::post(this->acceptor.get_executor(), [this] {
-            boost::system::error_code ignored;
-            this->acceptor.close(ignored);
-        });
-    }
+    void stop_accepting() { this->listener.close(); }
 
     /// Closes each connection after its next answer; idle ones stay open.
     void begin_closing() { this->links.begin_closing(); }
@@ -165,23 +132,17 @@
 
     boost::asio::awaitable<void> accept_all()
     {
-        namespace asio = boost::asio;
-        while (this->acceptor.is_open())
-        {
-            auto [failure, socket] = co_await this->acceptor.async_accept(
-                asio::make_strand(this->context),
-                asio::as_tuple(asio::use_awaitable));
-            if (failure)
-            {
-                co_await core::wait_until(
-                    core::runtime_clock::now() + accept_pause);
-                continue;
-            }
-            const auto executor = socket.get_executor();
-            asio::co_spawn(executor,
-                this->serve(std::make_shared<caller_link>(std::move(socket))),
-                asio::detached);
-        }
+        return this->listener.accept_all(
+            [this](tcp::socket socket) {
+                const auto strand = socket.get_executor();
+                auto link = std::make_shared<caller_link>(std::move(socket));
+                boost::asio::co_spawn(strand, this->serve(std::move(link)),
+                    boost::asio::detached);
+            },
+            [](const core::error& cause) {
+                operators::write(operators::event::make("callers.accept_failed")
+                                     .with("cause", cause));
+            });
     }
 
     boost::asio::awaitable<void> serve(std::shared_ptr<caller_link> link)
@@ -191,9 +152,11 @@
         {
             co_await this->serve_requests(*link, number);
         }
-        catch (const std::exception&)
+        catch (const std::exception& failure)
         {
             // A failure of one connection must not end the others.
+            operators::write(operators::event::make("callers.connection_failed")
+                                 .with("cause", failure.what()));
             link->close();
         }
         this->links.remove(number);
@@ -410,12 +373,10 @@
         return boost::asio::as_tuple(boost::asio::use_awaitable);
     }
 
-    boost::asio::io_context& context;
-    tcp::acceptor acceptor;
+    core::tcp_listener listener;
     link_table links;
     const Router& routes;
     Handler& handler;
-    std::uint16_t port = 0;
 };
 
 } // namespace pollenward::caller
--- a/src/operators/admin_http.cpp
+++ b/src/operators/admin_http.cpp
@@ -166,38 +166,6 @@
                     : respond(503, "text/plain", "not ready\n");
 }
 
-bool open_listener(tcp::acceptor& acceptor, const core::endpoint& endpoint,
-    core::error& reason)
-{
-    boost::system::error_code failure;
-    const auto address
-        = asio::ip::make_address(endpoint.get_address(), failure);
-    const tcp::endpoint local(address, endpoint.get_port());
-    if (!failure)
-    {
-        acceptor.open(local.protocol(), failure);
-    }
-    if (!failure)
-    {
-        acceptor.set_option(asio::socket_base::reuse_address(true), failure);
-    }
-    if (!failure)
-    {
-        acceptor.bind(local, failure);
-    }
-    if (!failure)
-    {
-        acceptor.listen(asio::socket_base::max_listen_connections, failure);
-    }
-    if (failure)
-    {
-        reason = core::error::make(
-            "listen for operators", endpoint.str(), failure.message());
-        return false;
-    }
-    return true;
-}
-
 asio::awaitable<std::optional<admin_request>> read_request(
     tcp::socket& socket, boost::beast::flat_buffer& buffer)
 {
--- a/src/operators/admin_http.hpp
+++ b/src/operators/admin_http.hpp
@@ -50,10 +50,6 @@
 admin_response respond_configuration(const std::optional<configuration>& value);
 admin_response respond_ready(bool is_ready);
 
-/// Opens a listener. False, with the reason, if it cannot be bound.
-bool open_listener(boost::asio::ip::tcp::acceptor& acceptor,
-    const core::endpoint& endpoint, core::error& reason);
-
 /// Reads the next request of a connection; nothing if the connection ended or
 /// stayed idle too long.
 boost::asio::awaitable<std::optional<admin_request>> read_request(
--- a/src/operators/admin_server.hpp
+++ b/src/operators/admin_server.hpp
@@ -1,14 +1,13 @@
 #pragma once
 
-#include "core/runtime_timer.hpp"
+#include "core/tcp_listener.hpp"
 #include "operators/admin_http.hpp"
 #include "operators/admin_source.hpp"
+#include "operators/event.hpp"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/strand.hpp>
 
 #include <cstdint>
 #include <exception>
@@ -22,8 +21,7 @@
 class admin_server {
 public:
     admin_server(boost::asio::io_context& context, Source& source)
-        : context(context)
-        , acceptor(context)
+        : listener(context)
         , source(source)
     {
     }
@@ -32,12 +30,12 @@
     /// cannot be bound.
     bool listen(const core::endpoint& endpoint, core::error& reason)
     {
-        if (!open_listener(this->acceptor, endpoint, reason))
+        if (!this->listener.listen(endpoint, reason))
         {
             return false;
         }
-        boost::asio::co_spawn(
-            this->context, this->accept_all(), boost::asio::detached);
+        boost::asio::co_spawn(this->listener.get_executor(), this->accept_all(),
+            boost::asio::detached);
         return true;
     }
 
@@ -65,33 +63,23 @@
     }
 
     /// Port on which the server listens, for endpoints with port 0.
-    std::uint16_t get_port() const
-    {
-        return this->acceptor.local_endpoint().port();
-    }
+    std::uint16_t get_port() const { return this->listener.get_port(); }
 
 private:
     using tcp = boost::asio::ip::tcp;
 
     boost::asio::awaitable<void> accept_all()
     {
-        namespace asio = boost::asio;
-        while (this->acceptor.is_open())
-        {
-            auto [failure, socket] = co_await this->acceptor.async_accept(
-                asio::make_strand(this->context),
-                asio::as_tuple(asio::use_awaitable));
-            if (failure)
-            {
-                // Descriptors may have run out: repeating at once would spin.
-                co_await core::wait_until(
-                    core::runtime_clock::now() + core::milliseconds(100));
-                continue;
-            }
-            const auto strand = socket.get_executor();
-            asio::co_spawn(
-                strand, this->serve(std::move(socket)), asio::detached);
-        }
+        return this->listener.accept_all(
+            [this](tcp::socket socket) {
+                const auto strand = socket.get_executor();
+                boost::asio::co_spawn(strand, this->serve(std::move(socket)),
+                    boost::asio::detached);
+            },
+            [](const core::error& cause) {
+                write(event::make("operators.accept_failed")
+                          .with("cause", cause));
+            });
     }
 
     boost::asio::awaitable<void> serve(tcp::socket socket)
@@ -149,8 +137,7 @@
             std::string(request.target()), "no such resource or method");
     }
 
-    boost::asio::io_context& context;
-    boost::asio::ip::tcp::acceptor acceptor;
+    core::tcp_listener listener;
     Source& source;
 };
 
--- a/tests/adapter/object_store_test.cpp
+++ b/tests/adapter/object_store_test.cpp
@@ -98,6 +98,22 @@
         == "GET /objects/pollenward-daemons?Serializable=1&after=d-1");
 }
 
+// Guards against a watch from revision 0, which tells the whole history or
+// nothing.
+TEST_CASE("a listing without a revision is a failure", "[adapter]")
+{
+    store_fixture fixture({ reply("200 OK", R"({"items":[],"HasMore":false})"),
+        reply("200 OK", R"({"events":[],"StoreRevision":"7"})") });
+    const auto listed
+        = run_to_end(fixture.context, fixture.store.list_daemons());
+    CHECK(listed.get_status() == listing_status::failed);
+    CHECK(listed.get_cause().get_cause() == "not a listing");
+    const auto changes = run_to_end(fixture.context,
+        fixture.store.watch<upstream::listed_worker>(
+            platform::store_revision(7), core::milliseconds(100)));
+    CHECK(changes.get_status() == listing_status::failed);
+}
+
 // Guards against a worker that is used after its entry was removed.
 TEST_CASE("a watch tells removed and unreadable objects as gone", "[adapter]")
 {
--- /dev/null
+++ b/tests/core/tcp_listener_test.cpp
@@ -0,0 +1,61 @@
+#include "core/tcp_listener.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <catch2/catch.hpp>
+
+using namespace pollenward;
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr auto no_failure = [](const core::error& /*cause*/) {};
+
+core::endpoint local(std::uint16_t port)
+{
+    core::error reason;
+    const auto made
+        = core::endpoint::create("127.0.0.1:" + std::to_string(port), reason);
+    REQUIRE(made);
+    return *made;
+}
+
+} // namespace
+
+// Guards against a listener that accepts after a drain has begun.
+TEST_CASE("a listener accepts until it is closed", "[core]")
+{
+    asio::io_context context;
+    core::tcp_listener listener(context);
+    core::error reason;
+    REQUIRE(listener.listen(local(0), reason));
+    int taken = 0;
+    asio::co_spawn(listener.get_executor(),
+        listener.accept_all(
+            [&](asio::ip::tcp::socket /*socket*/) {
+                ++taken;
+                listener.close();
+            },
+            no_failure),
+        asio::detached);
+    asio::ip::tcp::socket caller(context);
+    caller.async_connect(
+        { asio::ip::make_address("127.0.0.1"), listener.get_port() },
+        [](boost::system::error_code) {});
+    context.run();
+    CHECK(taken == 1);
+}
+
+// Guards against a daemon that starts beside another one on its address.
+TEST_CASE("a second listener on a port is told why it fails", "[core]")
+{
+    asio::io_context context;
+    core::tcp_listener first(context);
+    core::error reason;
+    REQUIRE(first.listen(local(0), reason));
+    core::tcp_listener second(context);
+    const core::endpoint taken = local(first.get_port());
+    CHECK_FALSE(second.listen(taken, reason));
+    CHECK(reason.get_step() == "bind listener");
+    CHECK(reason.get_peer() == taken.str());
+}
