Give the product's own interface all settings that its platform already has

Cause: hosts, splits, attempts, target latency and the callers' limits were added for the platform's dialect only. The product's configuration document had no words for them, GET /configuration of a daemon on the platform left them out, and the own dialect ignored hosts, splits and limits.

Change: configuration_json reads and writes all of them, with their faults; the split is applied where a request's head is made, for both dialects; both take limits and hosts from the configuration. Tests: a round trip of all settings, three more faults, host names with brackets.

--- a/src/caller/http_message.hpp
+++ b/src/caller/http_message.hpp
@@ -107,16 +107,18 @@
 /// The product's own header fields.
 struct own_dialect {
     template <class Router>
-    static caller_limits limits(const Router& /*routes*/)
+    static caller_limits limits(const Router& routes)
     {
-        return {};
+        return caller_limits::make(routes.ingress());
     }
 
     template <class Router>
     static std::optional<operators::kind_settings> find_kind(
         const Router& routes, const http_request& message)
     {
-        return routes.find(to_view(message.method_string()),
+        return routes.find(
+            host_name_of(to_view(message[boost::beast::http::field::host])),
+            to_view(message.method_string()),
             path_of(to_view(message.target())));
     }
 
--- a/src/caller/request_head.cpp
+++ b/src/caller/request_head.cpp
@@ -1,6 +1,7 @@
 #include "caller/request_head.hpp"
 
 #include "caller/request_form.hpp"
+#include "caller/traffic_split.hpp"
 
 namespace pollenward::caller {
 
@@ -21,7 +22,7 @@
     made.id = *id;
     made.own_id = !id_text.empty();
     made.account = *account;
-    made.kind = kind;
+    made.kind = kind.with_service(choose_service(kind, made.id.str()));
     made.deadline = now + *timeout;
     return made;
 }
--- a/src/caller/route_table.cpp
+++ b/src/caller/route_table.cpp
@@ -81,6 +81,13 @@
     return std::nullopt;
 }
 
+std::string_view host_name_of(std::string_view host)
+{
+    const auto bracket = host.rfind(']');
+    return host.substr(
+        0, host.find(':', bracket == std::string_view::npos ? 0 : bracket));
+}
+
 std::string_view path_of(std::string_view target)
 {
     return target.substr(0, target.find('?'));
--- a/src/caller/route_table.hpp
+++ b/src/caller/route_table.hpp
@@ -39,4 +39,7 @@
 /// The path of a request target, without its query.
 std::string_view path_of(std::string_view target);
 
+/// The host name of a Host field, without its port; "[::1]" stays as it is.
+std::string_view host_name_of(std::string_view host);
+
 } // namespace pollenward::caller
--- a/src/operators/configuration_json.cpp
+++ b/src/operators/configuration_json.cpp
@@ -70,6 +70,20 @@
             return found;
         }
 
+        /// The value below a key, or nothing if it is absent.
+        const json* find_object(const char* key)
+        {
+            this->known.insert(key);
+            return this->object.is_object() && this->object.contains(key)
+                ? &this->object[key]
+                : nullptr;
+        }
+
+        std::string path_of(const char* key) const
+        {
+            return this->path + "/" + key;
+        }
+
         void report_unknown_keys()
         {
             if (!this->object.is_object())
@@ -88,7 +102,7 @@
         void report(const std::string& key, const std::string& cause)
         {
             this->reasons.push_back(core::error::make(
-                "read configuration", this->path + "/" + key, cause));
+                "read configuration", this->path_of(key.c_str()), cause));
         }
 
     private:
@@ -149,8 +163,40 @@
             id, floor, slots, connections, shares, reason);
     }
 
-    std::optional<kind_settings> read_kind(
+    template <class Item, class Read>
+    std::vector<Item> read_items(object_reader& parent, const char* key,
+        Read read, std::vector<core::error>& reasons)
+    {
+        std::vector<Item> items;
+        const json& array = parent.read_array(key);
+        for (std::size_t i = 0; i < array.size(); ++i)
+        {
+            object_reader reader(array[i],
+                parent.path_of(key) + "/" + std::to_string(i), reasons);
+            core::error reason;
+            auto item = read(reader, reason);
+            keep(std::move(item), reason, items, reasons);
+        }
+        return items;
+    }
+
+    std::optional<service_weight> read_weight(
         object_reader& reader, core::error& reason)
+    {
+        core::service_id service(reader.read("service", std::string()));
+        const double weight = reader.read("weight", 0.0);
+        reader.report_unknown_keys();
+        if (service.is_empty() || weight < 0)
+        {
+            reason = core::error::make("check part of a split", service.str(),
+                "needs a service and a weight that is not negative");
+            return std::nullopt;
+        }
+        return service_weight::make(std::move(service), weight);
+    }
+
+    std::optional<kind_settings> read_kind(object_reader& reader,
+        std::vector<core::error>& reasons, core::error& reason)
     {
         const core::kind_id id(reader.read("id", std::string()));
         const core::service_id service(reader.read("service", std::string()));
@@ -165,9 +211,29 @@
             reader.read<std::int64_t>("timeout_ms", 1));
         const core::byte_count max_body(
             reader.read<std::uint64_t>("max_body_bytes", 0));
+        const core::milliseconds target(
+            reader.read_or<std::int64_t>("target_latency_ms", 0));
+        const int attempts
+            = reader.read_or("max_attempts", default_max_attempts);
+        auto split
+            = read_items<service_weight>(reader, "split", read_weight, reasons);
         reader.report_unknown_keys();
-        return kind_settings::create(id, service, is_idempotent,
+        if (attempts < 1 || target < core::milliseconds::zero())
+        {
+            reason = core::error::make("check kind", id.str(),
+                "needs at least one attempt and a target latency that is not "
+                "negative");
+            return std::nullopt;
+        }
+        const auto made = kind_settings::create(id, service, is_idempotent,
             rank.value_or(core::rank::background), timeout, max_body, reason);
+        if (!made)
+        {
+            return std::nullopt;
+        }
+        return made->with_target_latency(target)
+            .with_max_attempts(attempts)
+            .with_split(std::move(split));
     }
 
     std::optional<route> read_route(object_reader& reader, core::error& reason)
@@ -175,26 +241,40 @@
         auto method = reader.read("method", std::string());
         auto prefix = reader.read("path_prefix", std::string());
         core::kind_id kind(reader.read("kind", std::string()));
+        auto host = reader.read_or("host", std::string());
         reader.report_unknown_keys();
-        return route::create(
+        const auto made = route::create(
             std::move(method), std::move(prefix), std::move(kind), reason);
+        return made ? std::optional(made->with_host(std::move(host)))
+                    : std::nullopt;
     }
 
-    template <class Item, class Read>
-    std::vector<Item> read_items(object_reader& parent, const char* key,
-        Read read, std::vector<core::error>& reasons)
+    /// Absent limits are those of a configuration that declares none.
+    ingress_limits read_ingress(
+        object_reader& parent, std::vector<core::error>& reasons)
     {
-        std::vector<Item> items;
-        const json& array = parent.read_array(key);
-        for (std::size_t i = 0; i < array.size(); ++i)
+        const ingress_limits usual;
+        const json* found = parent.find_object("ingress");
+        if (found == nullptr)
         {
-            object_reader reader(array[i],
-                std::string("/") + key + "/" + std::to_string(i), reasons);
-            core::error reason;
-            auto item = read(reader, reason);
-            keep(std::move(item), reason, items, reasons);
+            return usual;
         }
-        return items;
+        object_reader reader(*found, "/ingress", reasons);
+        const core::byte_count header(reader.read_or<std::uint64_t>(
+            "header_bytes", usual.get_header_bytes().get()));
+        const core::byte_count body(reader.read_or<std::uint64_t>(
+            "body_bytes", usual.get_body_bytes().get()));
+        const core::milliseconds header_time(reader.read_or<std::int64_t>(
+            "header_time_ms", usual.get_header_time().count()));
+        const core::milliseconds idle(
+            reader.read_or<std::int64_t>("idle_ms", usual.get_idle().count()));
+        if (header_time <= core::milliseconds::zero()
+            || idle <= core::milliseconds::zero())
+        {
+            reader.report("", "needs times above 0 ms");
+        }
+        reader.report_unknown_keys();
+        return ingress_limits::make(header, body, header_time, idle);
     }
 
     /// Records of applied patches; a bare string is the id of a patch that was
@@ -248,6 +328,27 @@
         };
     }
 
+    json encode_split(const std::vector<service_weight>& split)
+    {
+        json parts = json::array();
+        for (const service_weight& each : split)
+        {
+            parts.push_back({ { "service", each.get_service().str() },
+                { "weight", each.get_weight() } });
+        }
+        return parts;
+    }
+
+    json encode_ingress(const ingress_limits& value)
+    {
+        return json{
+            { "header_bytes", value.get_header_bytes().get() },
+            { "body_bytes", value.get_body_bytes().get() },
+            { "header_time_ms", value.get_header_time().count() },
+            { "idle_ms", value.get_idle().count() },
+        };
+    }
+
     json encode_kind(const kind_settings& value)
     {
         return json{
@@ -257,12 +358,16 @@
             { "rank", std::string(core::to_string(value.get_rank())) },
             { "timeout_ms", value.get_timeout().count() },
             { "max_body_bytes", value.get_max_body().get() },
+            { "target_latency_ms", value.get_target_latency().count() },
+            { "max_attempts", value.get_max_attempts() },
+            { "split", encode_split(value.get_split()) },
         };
     }
 
     json encode_route(const route& value)
     {
         return json{
+            { "host", value.get_host() },
             { "method", value.get_method() },
             { "path_prefix", value.get_path_prefix() },
             { "kind", value.get_kind().str() },
@@ -288,14 +393,21 @@
         reader.read<std::int64_t>("max_timeout_ms", 1));
     auto services = read_items<service_settings>(
         reader, "services", read_service, reasons);
-    auto kinds = read_items<kind_settings>(reader, "kinds", read_kind, reasons);
+    const auto read_one_kind = [&](object_reader& each, core::error& reason) {
+        return read_kind(each, reasons, reason);
+    };
+    auto kinds
+        = read_items<kind_settings>(reader, "kinds", read_one_kind, reasons);
     auto routes = read_items<route>(reader, "routes", read_route, reasons);
     auto patches = read_patches(reader, reasons);
+    const ingress_limits ingress = read_ingress(reader, reasons);
     reader.report_unknown_keys();
     auto made
         = configuration::create(number, std::move(services), std::move(kinds),
             std::move(routes), max_timeout, std::move(patches), reasons);
-    return reasons.size() == faults_before ? std::move(made) : std::nullopt;
+    return reasons.size() == faults_before
+        ? std::optional(made->with_ingress_limits(ingress))
+        : std::nullopt;
 }
 
 std::string encode_configuration(const configuration& value)
@@ -303,6 +415,7 @@
     json document = {
         { "number", value.get_number().get() },
         { "max_timeout_ms", value.get_max_timeout().count() },
+        { "ingress", encode_ingress(value.get_ingress_limits()) },
         { "services", json::array() },
         { "kinds", json::array() },
         { "routes", json::array() },
--- a/tests/adapter/caller_dialect_test.cpp
+++ b/tests/adapter/caller_dialect_test.cpp
@@ -56,7 +56,6 @@
     CHECK(adapter::directory_of("/a/") == "/a/");
     CHECK(adapter::directory_of("/a") == "/");
     CHECK(adapter::directory_of("/a/b?x=/c/") == "/a/");
-    CHECK(adapter::host_name_of("h.example:80") == "h.example");
 }
 
 // Guards against work that goes on after the operators' time-out.
--- a/tests/caller/http_server_test.cpp
+++ b/tests/caller/http_server_test.cpp
@@ -21,7 +21,7 @@
 class one_route {
 public:
     std::optional<operators::kind_settings> find(
-        std::string_view, std::string_view path) const
+        std::string_view, std::string_view, std::string_view path) const
     {
         core::error reason;
         const auto kind = operators::kind_settings::create(
@@ -31,6 +31,7 @@
     }
 
     core::milliseconds max_timeout() const { return core::seconds(60); }
+    operators::ingress_limits ingress() const { return {}; }
 };
 
 /// Answers with the request's target; holds targets that contain "hold" until
--- a/tests/caller/route_table_test.cpp
+++ b/tests/caller/route_table_test.cpp
@@ -78,3 +78,12 @@
         == core::kind_id("any"));
     CHECK_FALSE(table.find("one.example", "PUT", "/b/"));
 }
+
+// Guards against a route by host that is missed because of the port.
+TEST_CASE("the host name of a request has no port", "[caller]")
+{
+    CHECK(caller::host_name_of("h.example:80") == "h.example");
+    CHECK(caller::host_name_of("h.example") == "h.example");
+    CHECK(caller::host_name_of("[::1]:80") == "[::1]");
+    CHECK(caller::host_name_of("") == "");
+}
--- a/tests/operators/configuration_json_test.cpp
+++ b/tests/operators/configuration_json_test.cpp
@@ -40,6 +40,35 @@
     CHECK(*again == *decoded);
 }
 
+// Guards against a daemon that drops a setting when it passes a configuration
+// on.
+TEST_CASE("all settings of kinds, routes and callers are read", "[operators]")
+{
+    std::string text = replaced("\"max_body_bytes\": 10}",
+        "\"max_body_bytes\": 10, \"target_latency_ms\": 70, "
+        "\"max_attempts\": 2, \"split\": [{\"service\": \"s\", "
+        "\"weight\": 0.25}]}");
+    text.insert(text.find("\"method\""), "\"host\": \"one.example\", ");
+    text.insert(1,
+        "\"ingress\": {\"header_bytes\": 1, \"body_bytes\": 2, "
+        "\"header_time_ms\": 3, \"idle_ms\": 4}, ");
+    std::vector<core::error> faults;
+    const auto decoded = decode_configuration(text, faults);
+    REQUIRE(decoded);
+    const auto kind = decoded->get_kinds().front();
+    CHECK(kind.get_target_latency() == core::milliseconds(70));
+    CHECK(kind.get_max_attempts() == 2);
+    CHECK(kind.get_split()
+        == std::vector<service_weight>{
+            service_weight::make(core::service_id("s"), 0.25) });
+    CHECK(decoded->get_routes().front().get_host() == "one.example");
+    CHECK(decoded->get_ingress_limits()
+        == ingress_limits::make(core::byte_count(1), core::byte_count(2),
+            core::milliseconds(3), core::milliseconds(4)));
+    CHECK(decode_configuration(encode_configuration(*decoded), faults)
+        == decoded);
+}
+
 // Guards against a configuration that is accepted in part.
 TEST_CASE("each fault is reported with its path", "[operators]")
 {
@@ -66,6 +95,16 @@
     CHECK_THAT(faults_of(replaced(
                    "\"max_timeout_ms\": 1000", "\"max_timeout_ms\": 600000")),
         Contains("max_timeout_ms"));
+    CHECK_THAT(faults_of(replaced("\"timeout_ms\": 100",
+                   "\"max_attempts\": 0, \"timeout_ms\": 100")),
+        Contains("at least one attempt"));
+    CHECK_THAT(faults_of(replaced("\"timeout_ms\": 100",
+                   "\"split\": [{\"service\": \"\", \"weight\": 1}], "
+                   "\"timeout_ms\": 100")),
+        Contains("part of a split"));
+    CHECK_THAT(faults_of(replaced("\"patches\"",
+                   "\"ingress\": {\"idle_ms\": 0}, \"patches\"")),
+        Contains("/ingress"));
     CHECK_THAT(faults_of("[]"), Contains("is not an object"));
     CHECK_THAT(faults_of("{"), Contains("not valid JSON"));
 }
