Spread what the store says through each zone; two daemons of a zone ask it

Cause: each daemon watched the store for itself.

Change: the two first daemons of a zone by score ask; each daemon exchanges with the zone's home every 0.5 s, at once when it is ahead, what one of them lacks (fleet::knowledge): the configuration as a document, workers as changes since a revision, or all of them if too much was missed (worker_history). Revisions are the store's, so a daemon may change its home. A daemon that has not heard for 1.8 s that the store is there asks by itself; ages travel with the marks, and the word of others is not sent to the home, where it would come back as a new one. While entries that lapsed are kept nothing is told.

Weighed and left out: a follower that only gets pushes (a lost push is not noticed), one asker per zone (its silent loss takes 1.8 s to be seen by all), a copy of the store's state among all daemons (bytes between regions).

--- a/src/fleet/field_codecs.hpp
+++ b/src/fleet/field_codecs.hpp
@@ -30,6 +30,7 @@
 nlohmann::json encode_fields(const verdict_notice& content);
 nlohmann::json encode_fields(const zone_report& content);
 nlohmann::json encode_fields(const zone_view& content);
+nlohmann::json encode_fields(const knowledge& content);
 
 ping decode_fields(array_reader& fields, type_of_message<ping>);
 ack decode_fields(array_reader& fields, type_of_message<ack>);
@@ -53,5 +54,6 @@
     array_reader& fields, type_of_message<verdict_notice>);
 zone_report decode_fields(array_reader& fields, type_of_message<zone_report>);
 zone_view decode_fields(array_reader& fields, type_of_message<zone_view>);
+knowledge decode_fields(array_reader& fields, type_of_message<knowledge>);
 
 } // namespace pollenward::fleet
--- /dev/null
+++ b/src/fleet/knowledge_codec.cpp
@@ -0,0 +1,126 @@
+#include "fleet/field_codecs.hpp"
+
+#include <utility>
+
+namespace pollenward::fleet {
+
+namespace {
+
+    using nlohmann::json;
+
+    /// A configuration of the planned size has 2,400 routes of 200 bytes.
+    constexpr std::size_t most_configuration_bytes = 1'500'000;
+
+    json encode_mark(const knowledge_mark& mark)
+    {
+        return json::array({ mark.get_revision().get(),
+            static_cast<std::uint64_t>(mark.get_age().count()) });
+    }
+
+    knowledge_mark decode_mark(array_reader& fields)
+    {
+        return fields.read_nested([](array_reader& inner) {
+            const auto revision = inner.read_quantity<core::store_revision>();
+            const auto age = inner.read_milliseconds();
+            return knowledge_mark::make(revision, age);
+        });
+    }
+
+    json encode_entry(const std::optional<upstream::listed_worker>& entry)
+    {
+        if (!entry)
+        {
+            return json::array();
+        }
+        const upstream::worker& who = entry->get_worker();
+        return json::array({ who.get_id().str(), who.get_address().str(),
+            who.get_zone().str(), who.is_leaving(), entry->get_service().str(),
+            static_cast<std::uint64_t>(entry->get_slots().get()),
+            static_cast<std::uint64_t>(entry->get_warm_up_left().count()),
+            entry->get_started_at_ms(), entry->get_beat() });
+    }
+
+    std::optional<upstream::listed_worker> decode_entry(array_reader& fields)
+    {
+        if (fields.remaining() == 0)
+        {
+            return std::nullopt;
+        }
+        constexpr std::uint64_t most_slots = 100'000;
+        auto id = fields.read_id<core::worker_id>();
+        auto address = fields.read_endpoint();
+        auto zone = fields.read_id<core::zone_id>();
+        const bool is_leaving = fields.read_bool();
+        auto service = fields.read_id<core::service_id>();
+        const core::slot_count slots(
+            static_cast<std::int64_t>(fields.read_number(most_slots)));
+        const auto warm_up = fields.read_milliseconds();
+        const auto started = fields.read_number();
+        const auto beat = fields.read_number();
+        return upstream::listed_worker::make(
+            upstream::worker::make(
+                std::move(id), std::move(address), std::move(zone), is_leaving),
+            std::move(service), slots, warm_up, started, beat);
+    }
+
+    json encode_changes(const std::optional<worker_changes>& changes)
+    {
+        if (!changes)
+        {
+            return json::array();
+        }
+        json rows = json::array();
+        for (const worker_change& each : changes->get_changes())
+        {
+            rows.push_back(json::array(
+                { each.get_name(), encode_entry(each.get_entry()) }));
+        }
+        const bool is_complete = !changes->get_start();
+        const std::uint64_t start
+            = is_complete ? 0 : changes->get_start()->get();
+        return json::array({ is_complete, start, std::move(rows) });
+    }
+
+    worker_change decode_change(array_reader& fields)
+    {
+        auto name = fields.read_string();
+        auto entry = fields.read_nested(decode_entry);
+        return worker_change::make(std::move(name), std::move(entry));
+    }
+
+    std::optional<worker_changes> decode_changes(array_reader& fields)
+    {
+        if (fields.remaining() == 0)
+        {
+            return std::nullopt;
+        }
+        const bool is_complete = fields.read_bool();
+        const auto start = fields.read_quantity<core::store_revision>();
+        auto changes = fields.read_list(decode_change);
+        return is_complete ? worker_changes::complete(std::move(changes))
+                           : worker_changes::since(start, std::move(changes));
+    }
+
+} // namespace
+
+json encode_fields(const knowledge& content)
+{
+    return json::array({ content.get_configuration_number().get(),
+        encode_mark(content.get_configuration()),
+        encode_mark(content.get_workers()), content.get_document(),
+        encode_changes(content.get_changes()) });
+}
+
+knowledge decode_fields(array_reader& fields, type_of_message<knowledge>)
+{
+    const auto number = fields.read_quantity<core::version_number>();
+    const auto configuration = decode_mark(fields);
+    const auto workers = decode_mark(fields);
+    auto document = fields.read_string(most_configuration_bytes);
+    auto changes = fields.read_nested(decode_changes);
+    const auto read = knowledge::make(number, configuration, workers)
+                          .with_configuration(std::move(document));
+    return changes ? read.with_changes(std::move(*changes)) : read;
+}
+
+} // namespace pollenward::fleet
--- a/src/fleet/message.hpp
+++ b/src/fleet/message.hpp
@@ -8,6 +8,7 @@
 #include "fleet/evidence_report.hpp"
 #include "fleet/fetch_document.hpp"
 #include "fleet/guard_notice.hpp"
+#include "fleet/knowledge.hpp"
 #include "fleet/ping.hpp"
 #include "fleet/receipt.hpp"
 #include "fleet/verdict_notice.hpp"
@@ -25,13 +26,13 @@
 using message = std::variant<ping, ack, ping_request, fetch_document, document,
     evidence_report, verdict_reply, claim_request, claim_reply, claim_settle,
     claim_copy, claim_page, guard_notice, receipt, verdict_notice, zone_report,
-    zone_view>;
+    zone_view, knowledge>;
 
 inline constexpr std::array<std::string_view, std::variant_size_v<message>>
     message_type_names
     = { "ping", "ack", "ping_request", "fetch_document", "document",
           "evidence_report", "verdict_reply", "claim_request", "claim_reply",
           "claim_settle", "claim_copy", "claim_page", "guard_notice", "receipt",
-          "verdict_notice", "zone_report", "zone_view" };
+          "verdict_notice", "zone_report", "zone_view", "knowledge" };
 
 } // namespace pollenward::fleet
--- a/src/main/entry_daemon.hpp
+++ b/src/main/entry_daemon.hpp
@@ -11,6 +11,7 @@
 #include "main/entry_limits.hpp"
 #include "main/entry_view.hpp"
 #include "main/guard_link.hpp"
+#include "main/knowledge_link.hpp"
 #include "main/settings.hpp"
 #include "main/zone_link.hpp"
 #include "operators/admin_server.hpp"
@@ -103,8 +104,9 @@
         , callers(context, this->configuration, this->requests)
         , view(this->configuration, this->board, this->zone, this->metrics)
         , admin(context, this->view)
-        , configurations(this->configuration)
-        , workers(this->board)
+        , configurations(this->configuration, this->duty)
+        , workers(this->board, this->duty)
+        , known(this->zone, this->configurations, this->workers, this->duty)
         , configuration_watch(
               this->store, this->configurations, {}, std::random_device()())
         , worker_watch(this->store, this->workers, {}, std::random_device()())
@@ -127,6 +129,7 @@
         }
         this->spawn(this->configuration_watch.run());
         this->spawn(this->worker_watch.run());
+        this->spawn(this->known.run());
         this->spawn(this->join_fleet());
         this->spawn(this->maintain());
         return true;
@@ -156,6 +159,7 @@
         }
         this->configuration_watch.stop();
         this->worker_watch.stop();
+        this->known.stop();
         this->zone.stop();
         operators::write(operators::event::make("daemon.drained"));
     }
@@ -245,6 +249,10 @@
 
     boost::asio::awaitable<fleet::message> answer(fleet::message received)
     {
+        if (const auto* told = std::get_if<fleet::knowledge>(&received))
+        {
+            co_return fleet::message(this->known.answer(*told));
+        }
         const auto* notice = std::get_if<fleet::guard_notice>(&received);
         if (notice == nullptr)
         {
@@ -354,8 +362,10 @@
         callers;
     entry_view view;
     operators::admin_server<entry_view> admin;
+    store_duty duty;
     configuration_intake configurations;
     worker_intake workers;
+    knowledge_link known;
     platform::listing_watch<operators::configuration, typename Platform::store,
         configuration_intake>
         configuration_watch;
--- a/src/main/zone_link.cpp
+++ b/src/main/zone_link.cpp
@@ -105,11 +105,11 @@
         asio::detached);
 }
 
-std::optional<fleet::member> zone_link::choose_home(core::time_point now) const
+std::vector<fleet::member> zone_link::homes(
+    std::size_t count, core::time_point now) const
 {
-    std::vector<fleet::member> known = this->members();
     std::vector<core::daemon_id> candidates;
-    for (const fleet::member& each : known)
+    for (const fleet::member& each : this->members())
     {
         const auto until = this->avoided_until.find(each.get_id());
         if (each.get_zone() == this->identity.get_zone()
@@ -118,9 +118,25 @@
             candidates.push_back(each.get_id());
         }
     }
-    const auto top
-        = core::rendezvous_top(this->identity.get_zone().str(), candidates, 1);
-    return top.empty() ? std::nullopt : this->find(top.front());
+    std::vector<fleet::member> chosen;
+    for (const core::daemon_id& each : core::rendezvous_top(
+             this->identity.get_zone().str(), candidates, count))
+    {
+        if (const auto found = this->find(each))
+        {
+            chosen.push_back(*found);
+        }
+    }
+    return chosen;
+}
+
+void zone_link::avoid(const core::daemon_id& home, const core::error& reason)
+{
+    operators::write(operators::event::make("zone.home_lost")
+                         .with("home", home)
+                         .with("cause", reason));
+    this->avoided_until.store(
+        home, core::runtime_clock::now() + this->times.avoid_home);
 }
 
 fleet::zone_report zone_link::make_report(core::time_point now)
@@ -159,26 +175,19 @@
 {
     auto now = core::runtime_clock::now();
     auto report = this->make_report(now);
-    const auto home = this->choose_home(now);
-    if (!home || home->get_id() == this->identity.get_id())
+    const auto home = this->homes(1, now);
+    if (home.empty() || home.front().get_id() == this->identity.get_id())
     {
         this->take_view(this->home_state.on_report(report, now), now);
         co_return;
     }
-    core::error reason;
-    const auto reply = co_await this->transport.exchange(
-        home->get_address(), fleet::message(std::move(report)), reason);
-    now = core::runtime_clock::now();
-    const auto* view = reply ? std::get_if<fleet::zone_view>(&*reply) : nullptr;
-    if (view != nullptr)
+    fleet::message told(std::move(report));
+    const auto view = co_await this->exchange<fleet::zone_view>(
+        home.front(), std::move(told));
+    if (view)
     {
-        this->take_view(*view, now);
-        co_return;
+        this->take_view(*view, core::runtime_clock::now());
     }
-    operators::write(operators::event::make("zone.home_lost")
-                         .with("home", home->get_id())
-                         .with("cause", reason));
-    this->avoided_until.store(home->get_id(), now + this->times.avoid_home);
 }
 
 asio::awaitable<void> zone_link::report_all()
--- a/src/main/zone_link.hpp
+++ b/src/main/zone_link.hpp
@@ -14,7 +14,10 @@
 #include <boost/asio/io_context.hpp>
 
 #include <atomic>
+#include <cstddef>
 #include <optional>
+#include <utility>
+#include <variant>
 #include <vector>
 
 namespace pollenward::main {
@@ -54,13 +57,37 @@
 
     std::vector<fleet::member> members() const;
 
+    /// The daemons of this zone that others rely on, the first one first;
+    /// those that did not reply lately are left out.
+    std::vector<fleet::member> homes(
+        std::size_t count, core::time_point now) const;
+
+    /// Sends a message to a home; nothing, with a line in the log, if it does
+    /// not reply as expected. It is passed over for a while then.
+    template <class Reply>
+    boost::asio::awaitable<std::optional<Reply>> exchange(
+        fleet::member home, fleet::message content)
+    {
+        core::error reason = core::error::make(
+            "exchange with home", home.get_id().str(), "unexpected reply");
+        core::endpoint address = home.get_address();
+        auto reply = co_await this->transport.exchange(
+            std::move(address), std::move(content), reason);
+        if (reply && std::holds_alternative<Reply>(*reply))
+        {
+            co_return std::get<Reply>(std::move(*reply));
+        }
+        this->avoid(home.get_id(), reason);
+        co_return std::nullopt;
+    }
+
 private:
+    void avoid(const core::daemon_id& home, const core::error& reason);
     boost::asio::awaitable<void> report_all();
     boost::asio::awaitable<void> report();
     boost::asio::awaitable<fleet::message> answer(fleet::message received);
     fleet::zone_report make_report(core::time_point now);
     void take_view(const fleet::zone_view& view, core::time_point now);
-    std::optional<fleet::member> choose_home(core::time_point now) const;
     std::optional<fleet::member> find(const core::daemon_id& id) const;
 
     boost::asio::io_context& context;
--- a/src/platform/listing.hpp
+++ b/src/platform/listing.hpp
@@ -105,13 +105,21 @@
           } -> std::same_as<boost::asio::awaitable<listing<Value>>>;
       };
 
-/// Takes the listings of a kind in order.
+/// Takes the listings of a kind in order. It may hear of the same objects from
+/// elsewhere, and then needs no calls to the store.
 template <class Handler, class Value>
 concept listing_handler = requires(Handler& handler,
     const listing<Value>& received, const core::error& cause) {
     handler.on_listing(received);
+    handler.on_unchanged(received.get_revision());
     handler.on_store_lost(cause);
     handler.on_store_regained();
+    {
+        handler.needs_store(core::time_point())
+    } -> std::same_as<bool>;
+    {
+        handler.known_revision()
+    } -> std::same_as<store_revision>;
 };
 
 } // namespace pollenward::platform
--- a/src/platform/listing_watch.hpp
+++ b/src/platform/listing_watch.hpp
@@ -12,15 +12,17 @@
 
 /// Times of a listing_watch.
 struct watch_times {
-    /// How long the store holds a watch that has nothing to tell. A watch
-    /// whose answer is lost is noticed a second after this time, and both
-    /// together stay below the 4 s after which a store counts as stable.
-    core::milliseconds wait{ 2500 };
+    /// How long the store holds a watch that has nothing to tell. Its answer
+    /// tells that the store is there, also to the daemons that rely on this
+    /// one; one that is lost is noticed a second after this time.
+    core::milliseconds wait{ 800 };
     /// Pause after changes, so that a burst of them takes one call.
     core::milliseconds settle{ 400 };
     /// Longest pause after a failed call. With the time limit of a call, it
     /// bounds how late the return of the store is noticed.
     core::milliseconds longest_pause{ 500 };
+    /// Time between two looks at whether the handler needs the store.
+    core::milliseconds idle{ 200 };
 };
 
 /// Keeps a handler up to date with the objects of one kind: lists them once
@@ -43,6 +45,13 @@
     {
         while (!this->stopped)
         {
+            if (!this->handler.needs_store(core::runtime_clock::now()))
+            {
+                co_await core::wait_until(
+                    core::runtime_clock::now() + this->times.idle);
+                continue;
+            }
+            this->take_over();
             // GCC 12 destroys both sides of a conditional co_await.
             listing<Value> received;
             if (this->needs_list)
@@ -69,6 +78,17 @@
     void stop() { this->stopped = true; }
 
 private:
+    /// Goes on from what the handler has heard from elsewhere.
+    void take_over()
+    {
+        const store_revision known = this->handler.known_revision();
+        if (known > this->seen)
+        {
+            this->seen = known;
+            this->needs_list = false;
+        }
+    }
+
     /// A lost store is asked for an answer at once, so that its return is
     /// noticed.
     core::milliseconds next_wait() const
@@ -107,6 +127,7 @@
             this->handler.on_listing(received);
             return this->times.settle;
         }
+        this->handler.on_unchanged(received.get_revision());
         return core::milliseconds::zero();
     }
 
--- a/src/platform/watch_result.hpp
+++ b/src/platform/watch_result.hpp
@@ -11,9 +11,7 @@
 
 namespace pollenward::platform {
 
-/// Number of writes that the whole store has seen. It goes back only if the
-/// store was restored from an older state.
-using store_revision = core::quantity<struct revision_tag, std::uint64_t>;
+using core::store_revision;
 
 /// What one long poll led to: the store's revision with the objects changed
 /// since the revision asked for, or a failure.
--- a/src/upstream/listed_worker.hpp
+++ b/src/upstream/listed_worker.hpp
@@ -37,6 +37,8 @@
     core::milliseconds get_warm_up_left() const { return this->warm_up_left; }
     std::uint64_t get_started_at_ms() const { return this->started_at_ms; }
 
+    std::uint64_t get_beat() const { return this->beat; }
+
     /// Whether this entry was written after `other` of the same worker. An
     /// entry may be delivered after a newer one.
     bool is_newer_than(const listed_worker& other) const
--- a/src/upstream/worker_register.hpp
+++ b/src/upstream/worker_register.hpp
@@ -92,6 +92,24 @@
         }) != 0;
     }
 
+    /// False while entries are kept that the store does not list.
+    bool is_settled() const
+    {
+        return std::none_of(this->entries.begin(), this->entries.end(),
+            [](const auto& each) { return each.second.is_missing; });
+    }
+
+    std::vector<std::string> names() const
+    {
+        std::vector<std::string> all;
+        all.reserve(this->entries.size());
+        for (const auto& [name, each] : this->entries)
+        {
+            all.push_back(name);
+        }
+        return all;
+    }
+
     /// When expire() is due.
     core::time_point get_expiry() const { return this->kept_until; }
 
--- a/tests/fleet/zone_home_test.cpp
+++ b/tests/fleet/zone_home_test.cpp
@@ -80,3 +80,28 @@
         {});
     CHECK(decode_message(encode_message(view), "peer", reason) == view);
 }
+
+TEST_CASE("knowledge survives the wire", "[fleet]")
+{
+    core::error reason;
+    const auto address = core::endpoint::create("10.0.0.1:80", reason);
+    REQUIRE(address);
+    const auto entry = upstream::listed_worker::make(
+        upstream::worker::make(
+            core::worker_id("w"), *address, core::zone_id("z"), true),
+        core::service_id("s"), core::slot_count(6), core::milliseconds(900), 7,
+        8);
+    const auto bare = knowledge::make(core::version_number(3),
+        knowledge_mark::make(core::store_revision(5), core::milliseconds(6)),
+        knowledge_mark());
+    const std::vector<worker_change> changes
+        = { worker_change::make("w", entry),
+              worker_change::make("gone", std::nullopt) };
+    for (const message& sent : { message(bare),
+             message(bare.with_configuration("{}").with_changes(
+                 worker_changes::since(core::store_revision(4), changes))),
+             message(bare.with_changes(worker_changes::complete({}))) })
+    {
+        CHECK(decode_message(encode_message(sent), "peer", reason) == sent);
+    }
+}
--- a/tests/platform/listing_watch_test.cpp
+++ b/tests/platform/listing_watch_test.cpp
@@ -71,7 +71,15 @@
         this->notes.push_back("lost");
     }
     void on_store_regained() { this->notes.push_back("regained"); }
+    void on_unchanged(store_revision /*revision*/) { }
+    bool needs_store(core::time_point /*now*/)
+    {
+        return this->looks_without_need-- <= 0;
+    }
+    store_revision known_revision() const { return this->known; }
 
+    int looks_without_need = 0;
+    store_revision known{ 0 };
     std::vector<std::string> notes;
 };
 
@@ -79,7 +87,7 @@
 {
     asio::io_context context;
     const watch_times times{ core::milliseconds(10), core::milliseconds(1),
-        core::milliseconds(2) };
+        core::milliseconds(2), core::milliseconds(1) };
     listing_watch<int, scripted_store, event_notes> watch(
         store, handler, times, 1);
     store.stop = [&] { watch.stop(); };
@@ -148,3 +156,18 @@
         == std::vector<core::milliseconds>{
             waits, core::milliseconds::zero(), waits });
 }
+
+// Guards against calls for what another daemon has already told, and against
+// changes that are missed when the calls begin.
+TEST_CASE("a watch goes on from what was heard from elsewhere", "[platform]")
+{
+    scripted_store store;
+    event_notes handler;
+    handler.looks_without_need = 3;
+    handler.known = store_revision(40);
+    store.replies
+        = { make(listing_status::changes, 41, { one }), numbers::failed({}) };
+    play(store, handler);
+    CHECK(store.calls == std::vector<std::string>{ "watch 40", "watch 41" });
+    CHECK(handler.looks_without_need < 0);
+}
