Tell routes of two hosts apart in patches; check the services of a split

Cause: since routes have hosts, the key of a route in a patch, METHOD /prefix, named two routes of different hosts at once, and one replaced the other. A split could name a service that is not declared; requests would have found no worker. Both have tests that fail without the change.

--- a/src/main/knowledge_link.cpp
+++ b/src/main/knowledge_link.cpp
@@ -65,7 +65,7 @@
         > this->home_knows.get_workers().get_revision();
 }
 
-asio::awaitable<void> knowledge_link::exchange()
+asio::awaitable<bool> knowledge_link::exchange()
 {
     const auto begun = core::runtime_clock::now();
     const auto homes = this->zone.homes(askers, begun);
@@ -78,7 +78,7 @@
     {
         this->home = self;
         this->home_knows = std::move(mine);
-        co_return;
+        co_return true;
     }
     if (homes.front().get_id() != this->home)
     {
@@ -95,21 +95,24 @@
         this->take(*heard, begun);
         this->home_knows = heard->without_content();
     }
+    co_return heard.has_value();
 }
 
 asio::awaitable<void> knowledge_link::run()
 {
-    auto last = core::runtime_clock::now();
+    auto due = core::runtime_clock::now();
     while (!this->stopped)
     {
         co_await core::wait_until(
             core::runtime_clock::now() + this->times.tick);
         const auto now = core::runtime_clock::now();
-        if (now - last >= this->times.exchange || this->is_ahead_of_home())
+        if (now < due && !this->is_ahead_of_home())
         {
-            last = now;
-            co_await this->exchange();
+            continue;
         }
+        // The next home is asked at once.
+        const bool is_done = co_await this->exchange();
+        due = is_done ? now + this->times.exchange : now;
     }
 }
 
--- a/src/main/knowledge_link.hpp
+++ b/src/main/knowledge_link.hpp
@@ -47,7 +47,8 @@
     fleet::knowledge answer(const fleet::knowledge& told);
 
 private:
-    boost::asio::awaitable<void> exchange();
+    /// False if the home did not reply.
+    boost::asio::awaitable<bool> exchange();
     /// By what the store told this daemon: sent to the home, where the word
     /// of others must not come back as a new one.
     fleet::knowledge own_knowledge(core::time_point now) const;
--- a/src/operators/configuration.cpp
+++ b/src/operators/configuration.cpp
@@ -84,6 +84,15 @@
                     "names the undeclared service "
                         + kind.get_service().str()));
             }
+            for (const service_weight& each : kind.get_split())
+            {
+                if (!find_by_id(services, each.get_service()))
+                {
+                    reasons.push_back(fault("kind " + kind.get_id().str(),
+                        "is divided with the undeclared service "
+                            + each.get_service().str()));
+                }
+            }
         }
         for (const route& each : routes)
         {
--- a/src/operators/patch_json.cpp
+++ b/src/operators/patch_json.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <utility>
 
@@ -36,9 +37,9 @@
 
     std::string key_of(const std::string& array, const json& item)
     {
-        return array == "routes"
-            ? text_of(item, "method") + " " + text_of(item, "path_prefix")
-            : text_of(item, "id");
+        return array == "routes" ? text_of(item, "method") + " "
+                + text_of(item, "host") + text_of(item, "path_prefix")
+                                 : text_of(item, "id");
     }
 
     json to_keyed(const std::string& array, const json& items)
@@ -65,8 +66,14 @@
         }
         const auto space = key.find(' ');
         item.emplace("method", key.substr(0, space));
-        item.emplace("path_prefix",
-            space == std::string::npos ? "" : key.substr(space + 1));
+        const std::string place
+            = space == std::string::npos ? "" : key.substr(space + 1);
+        const auto slash = std::min(place.find('/'), place.size());
+        item.emplace("path_prefix", place.substr(slash));
+        if (slash != 0)
+        {
+            item.emplace("host", place.substr(0, slash));
+        }
     }
 
     /// Applies a patch keyed by id to an array of items.
--- a/tests/operators/configuration_json_test.cpp
+++ b/tests/operators/configuration_json_test.cpp
@@ -105,6 +105,10 @@
     CHECK_THAT(faults_of(replaced("\"patches\"",
                    "\"ingress\": {\"idle_ms\": 0}, \"patches\"")),
         Contains("/ingress"));
+    CHECK_THAT(faults_of(replaced("\"timeout_ms\": 100",
+                   "\"split\": [{\"service\": \"t\", \"weight\": 1}], "
+                   "\"timeout_ms\": 100")),
+        Contains("undeclared service t"));
     CHECK_THAT(faults_of("[]"), Contains("is not an object"));
     CHECK_THAT(faults_of("{"), Contains("not valid JSON"));
 }
--- a/tests/operators/patch_json_test.cpp
+++ b/tests/operators/patch_json_test.cpp
@@ -63,6 +63,21 @@
         == configuration_difference::make("/services/s/floor", "0.5", "0.75"));
 }
 
+// Guards against routes of two hosts that replace each other in a patch.
+TEST_CASE("a patch tells routes of two hosts apart", "[operators]")
+{
+    std::vector<core::error> faults;
+    const auto change = make_patch(R"({"routes": {
+        "GET one.example/": {"kind": "k"}, "GET two.example/a": {"kind": "k"}}})");
+    const auto next = apply_patch(change, present(), faults);
+    REQUIRE(next);
+    REQUIRE(next->get_routes().size() == 3);
+    CHECK(next->get_routes()[1].get_host() == "one.example");
+    CHECK(next->get_routes()[1].get_path_prefix() == "/");
+    CHECK(next->get_routes()[2].get_host() == "two.example");
+    CHECK(next->get_routes()[2].get_path_prefix() == "/a");
+}
+
 // Guards against a patch that is applied in part, or that sets what only the
 // system may set.
 TEST_CASE("a patch with a fault changes nothing and names it", "[operators]")
