--- a/src/caller/caller_limits.hpp
+++ b/src/caller/caller_limits.hpp
@@ -16,12 +16,14 @@
         caller_limits made;
         made.header_bytes
             = static_cast<std::uint32_t>(declared.get_header_bytes().get());
+        made.body_bytes = declared.get_body_bytes().get();
         made.header_time = declared.get_header_time();
         made.idle = declared.get_idle();
         return made;
     }
 
     std::uint32_t get_header_bytes() const { return this->header_bytes; }
+    std::uint64_t get_body_bytes() const { return this->body_bytes; }
     core::duration get_header_time() const { return this->header_time; }
     core::duration get_body_time() const { return this->body_time; }
     core::duration get_idle() const { return this->idle; }
@@ -30,6 +32,7 @@
 
 private:
     std::uint32_t header_bytes = 16 * 1024;
+    std::uint64_t body_bytes = 1024 * 1024;
     core::duration header_time = core::seconds(10);
     core::duration body_time = core::seconds(30);
     core::duration idle = core::seconds(60);
--- a/src/caller/http_server.hpp
+++ b/src/caller/http_server.hpp
@@ -23,6 +23,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <concepts>
 #include <cstdint>
 #include <exception>
@@ -243,7 +244,9 @@
         caller_link& link, http_parser& incoming, const request_head& head)
     {
         namespace http = boost::beast::http;
-        const std::uint64_t limit = head.get_kind().get_max_body().get();
+        const std::uint64_t limit
+            = std::min(head.get_kind().get_max_body().get(),
+                Dialect::limits(this->routes).get_body_bytes());
         if (incoming.content_length().value_or(0) > limit)
         {
             co_return co_await this->refuse_read(
