--- a/src/caller/caller_limits.hpp
+++ b/src/caller/caller_limits.hpp
@@ -32,7 +32,7 @@
 
 private:
     std::uint32_t header_bytes = 16 * 1024;
-    std::uint64_t body_bytes = 1024 * 1024;
+    std::uint64_t body_bytes = 1'048'576;
     core::duration header_time = core::seconds(10);
     core::duration body_time = core::seconds(30);
     core::duration idle = core::seconds(60);
