Send the configuration in parts within a zone, from its largest hosts

Cause: a daemon sent the whole configuration in one message. With 1,680 routes it takes longer on a link of 10 Mbit/s than the 300 ms of an exchange, so that no exchange ended in time, each one was sent again, and the reports of workers on the same connection timed out too. Daemons read the store themselves 1.8 s later. The aggregators were chosen without regard to their links.

Evidence: logs of all daemons at: zone.home_lost 3,536 times, none before the growth; versions of 19 routes came from daemons 86 times of 98, those of 1,680 routes 0 to 6 times.

Change: configuration_change_index keeps the version in which each kind was last changed; daemons request the changes after a position, 64 kinds a part, and apply them together when the last one has arrived. A daemon that is ahead of its aggregator offers its version. The daemons of a zone with the most capacity (daemon.capacity, the link's bandwidth) aggregate and read the store. The field of the old document stays empty on the wire; a daemon of an earlier version falls back to the store.

--- a/src/fleet/aggregator_selection.hpp
+++ b/src/fleet/aggregator_selection.hpp
@@ -2,10 +2,14 @@
 
 #include "core/ids.hpp"
 #include "core/rendezvous.hpp"
+#include "fleet/member.hpp"
 
+#include <algorithm>
 #include <compare>
+#include <cstddef>
 #include <map>
 #include <optional>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -72,4 +76,24 @@
     return found;
 }
 
+/// Selects `count` daemons of one zone that read and merge for the others:
+/// those with the most capacity, and among equal ones those with the highest
+/// rendezvous scores. Each of them sends as much as all others receive.
+inline std::vector<member> select_zone_aggregators(const core::zone_id& zone,
+    std::vector<member> candidates, std::size_t count)
+{
+    const auto score_of = [&](const member& each) {
+        return core::rendezvous_score(zone.str(), each.get_id().str());
+    };
+    std::sort(candidates.begin(), candidates.end(),
+        [&](const member& left, const member& right) {
+            return std::tuple(
+                       right.get_capacity(), score_of(right), left.get_id())
+                < std::tuple(
+                    left.get_capacity(), score_of(left), right.get_id());
+        });
+    candidates.resize(std::min(count, candidates.size()));
+    return candidates;
+}
+
 } // namespace pollenward::fleet
--- a/src/fleet/field_codecs.hpp
+++ b/src/fleet/field_codecs.hpp
@@ -32,6 +32,9 @@
 nlohmann::json encode_fields(const zone_report& content);
 nlohmann::json encode_fields(const zone_view& content);
 nlohmann::json encode_fields(const store_state& content);
+nlohmann::json encode_fields(const configuration_offer& content);
+nlohmann::json encode_fields(const operators::configuration_request& content);
+nlohmann::json encode_fields(const operators::configuration_part& content);
 
 ping decode_fields(array_reader& fields, type_of_message<ping>);
 ack decode_fields(array_reader& fields, type_of_message<ack>);
@@ -56,5 +59,11 @@
 zone_report decode_fields(array_reader& fields, type_of_message<zone_report>);
 zone_view decode_fields(array_reader& fields, type_of_message<zone_view>);
 store_state decode_fields(array_reader& fields, type_of_message<store_state>);
+configuration_offer decode_fields(
+    array_reader& fields, type_of_message<configuration_offer>);
+operators::configuration_request decode_fields(
+    array_reader& fields, type_of_message<operators::configuration_request>);
+operators::configuration_part decode_fields(
+    array_reader& fields, type_of_message<operators::configuration_part>);
 
 } // namespace pollenward::fleet
--- a/src/fleet/member.hpp
+++ b/src/fleet/member.hpp
@@ -47,6 +47,9 @@
         return this->version_in_force;
     }
 
+    /// Relative capacity of the daemon's host; 0 if it is not known.
+    std::uint64_t get_capacity() const { return this->capacity; }
+
     /// True for daemons that can be aggregators and watchers and that get
     /// shares.
     bool is_live() const
@@ -80,6 +83,13 @@
         return changed;
     }
 
+    member with_capacity(std::uint64_t announced) const
+    {
+        member changed = *this;
+        changed.capacity = announced;
+        return changed;
+    }
+
     member with_version_in_force(core::version_number version) const
     {
         member changed = *this;
@@ -120,6 +130,7 @@
     std::uint64_t sequence = 0;
     member_state state = member_state::alive;
     core::version_number version_in_force;
+    std::uint64_t capacity = 0;
 };
 
 } // namespace pollenward::fleet
--- a/src/fleet/message.hpp
+++ b/src/fleet/message.hpp
@@ -4,6 +4,7 @@
 #include "fleet/claim_reply.hpp"
 #include "fleet/claim_request.hpp"
 #include "fleet/claim_settle.hpp"
+#include "fleet/configuration_offer.hpp"
 #include "fleet/crash_notice.hpp"
 #include "fleet/document.hpp"
 #include "fleet/evidence_report.hpp"
@@ -14,6 +15,7 @@
 #include "fleet/verdict_notice.hpp"
 #include "fleet/verdict_reply.hpp"
 #include "fleet/zone_report.hpp"
+#include "operators/configuration_part.hpp"
 
 #include <array>
 #include <string_view>
@@ -26,13 +28,15 @@
 using message = std::variant<ping, ack, ping_request, fetch_document, document,
     evidence_report, verdict_reply, claim_request, claim_reply, claim_settle,
     claim_copy, claim_page, crash_notice, receipt, verdict_notice, zone_report,
-    zone_view, store_state>;
+    zone_view, store_state, configuration_offer,
+    operators::configuration_request, operators::configuration_part>;
 
 inline constexpr std::array<std::string_view, std::variant_size_v<message>>
-    message_type_names
-    = { "ping", "ack", "ping_request", "fetch_document", "document",
-          "evidence_report", "verdict_reply", "claim_request", "claim_reply",
-          "claim_settle", "claim_copy", "claim_page", "guard_notice", "receipt",
-          "verdict_notice", "zone_report", "zone_view", "knowledge" };
+    message_type_names = { "ping", "ack", "ping_request", "fetch_document",
+        "document", "evidence_report", "verdict_reply", "claim_request",
+        "claim_reply", "claim_settle", "claim_copy", "claim_page",
+        "guard_notice", "receipt", "verdict_notice", "zone_report", "zone_view",
+        "knowledge", "configuration_offer", "configuration_request",
+        "configuration_part" };
 
 } // namespace pollenward::fleet
--- a/src/fleet/store_state.hpp
+++ b/src/fleet/store_state.hpp
@@ -99,8 +99,9 @@
     std::vector<worker_change> changes;
 };
 
-/// The positions of a daemon's copy of the store, and the content that its peer
-/// lacks. Sent both ways between the daemons of a zone.
+/// The positions of a daemon's copy of the store, and the changes of workers
+/// that its peer lacks. Sent both ways between the daemons of a zone. A daemon
+/// with an older configuration requests the parts that it lacks.
 class store_state {
 public:
     static store_state make(core::version_number configuration_number,
@@ -113,13 +114,6 @@
         return made;
     }
 
-    store_state with_configuration(std::string document) const
-    {
-        store_state next = *this;
-        next.document = std::move(document);
-        return next;
-    }
-
     store_state with_changes(worker_changes changed) const
     {
         store_state next = *this;
@@ -142,9 +136,6 @@
         return this->configuration;
     }
     const store_position& get_workers() const { return this->workers; }
-    /// The configuration as operators::encode_configuration returns it; empty
-    /// if the peer has it.
-    const std::string& get_document() const { return this->document; }
     /// Nothing if the peer has all changes.
     const std::optional<worker_changes>& get_changes() const
     {
@@ -157,7 +148,6 @@
     core::version_number number;
     store_position configuration;
     store_position workers;
-    std::string document;
     std::optional<worker_changes> changes;
 };
 
--- a/src/fleet/store_state_codec.cpp
+++ b/src/fleet/store_state_codec.cpp
@@ -8,8 +8,9 @@
 
     using nlohmann::json;
 
-    /// A configuration of the planned size has 2,400 routes of 200 bytes.
-    constexpr std::size_t max_configuration_bytes = 1'500'000;
+    /// Earlier versions of the daemon send a whole configuration with the state
+    /// of the store. It is ignored, as its parts can be requested.
+    constexpr std::size_t max_document_bytes = 1'500'000;
 
     json encode_position(const store_position& position)
     {
@@ -107,7 +108,7 @@
 {
     return json::array({ content.get_configuration_number().get(),
         encode_position(content.get_configuration()),
-        encode_position(content.get_workers()), content.get_document(),
+        encode_position(content.get_workers()), std::string(),
         encode_changes(content.get_changes()) });
 }
 
@@ -116,10 +117,9 @@
     const auto number = fields.read_quantity<core::version_number>();
     const auto configuration = decode_position(fields);
     const auto workers = decode_position(fields);
-    auto document = fields.read_string(max_configuration_bytes);
+    fields.read_string(max_document_bytes);
     auto changes = fields.read_nested(decode_changes);
-    const auto read = store_state::make(number, configuration, workers)
-                          .with_configuration(std::move(document));
+    const auto read = store_state::make(number, configuration, workers);
     return changes ? read.with_changes(std::move(*changes)) : read;
 }
 
--- a/src/main/entry_daemon.hpp
+++ b/src/main/entry_daemon.hpp
@@ -92,7 +92,8 @@
               fleet::member::make(this->initial_settings.get_id(),
                   this->initial_settings.get_fleet_endpoint(),
                   this->initial_settings.get_zone(),
-                  core::incarnation_number(1)),
+                  core::incarnation_number(1))
+                  .with_capacity(this->initial_settings.get_capacity()),
               this->placement)
         , guard(this->zone)
         , dispatcher(context.get_executor(), this->placement, this->guard,
@@ -258,6 +259,16 @@
         {
             co_return fleet::message(this->store_state.answer(*state));
         }
+        if (const auto* request
+            = std::get_if<operators::configuration_request>(&received))
+        {
+            co_return fleet::message(this->store_state.answer(*request));
+        }
+        if (auto* offer = std::get_if<fleet::configuration_offer>(&received))
+        {
+            this->spawn(this->store_state.accept(std::move(*offer)));
+            co_return fleet::message(fleet::receipt::accepted());
+        }
         const auto* notice = std::get_if<fleet::crash_notice>(&received);
         if (notice == nullptr)
         {
--- a/src/main/entry_replicas.cpp
+++ b/src/main/entry_replicas.cpp
@@ -1,6 +1,5 @@
 #include "main/entry_replicas.hpp"
 
-#include "operators/configuration_json.hpp"
 #include "operators/event.hpp"
 
 #include <set>
@@ -42,23 +41,26 @@
     {
         if (each.get_value())
         {
-            this->install(*each.get_value(), received.get_revision(), "store");
+            this->install(*each.get_value(), "store");
         }
     }
     this->on_unchanged(received.get_revision());
 }
 
-void configuration_replica::install(const operators::configuration& next,
-    core::store_revision revision, const char* source)
+void configuration_replica::install(
+    const operators::configuration& next, const char* source)
 {
-    if (this->configuration.store(next))
+    const std::lock_guard lock(this->mutex);
+    if (!this->configuration.store(next))
     {
-        operators::write(operators::event::make("configuration.in_force")
-                             .with("number", next.get_number().get())
-                             .with("routes", next.get_routes().size())
-                             .with("revision", revision.get())
-                             .with("source", source));
+        return;
     }
+    this->changes.on_version(next);
+    operators::write(operators::event::make("configuration.in_force")
+                         .with("number", next.get_number().get())
+                         .with("routes", next.get_routes().size())
+                         .with("revision", this->freshness.get_revision().get())
+                         .with("source", source));
 }
 
 void configuration_replica::on_unchanged(core::store_revision revision)
@@ -109,42 +111,36 @@
     return this->freshness.own_position(now);
 }
 
-std::string configuration_replica::document_newer_than(
-    core::version_number peer_number) const
+std::optional<operators::configuration> configuration_replica::in_force() const
+{
+    return this->configuration.get();
+}
+
+operators::configuration_part configuration_replica::part_after(
+    const operators::configuration_request& request) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->changes.part_after(request);
+}
+
+void configuration_replica::on_transfer(
+    const operators::configuration& received)
 {
-    const auto present = this->configuration.get();
-    return present && present->get_number() > peer_number
-        ? operators::encode_configuration(*present)
-        : std::string();
+    this->install(received, "daemon");
 }
 
 void configuration_replica::merge(
     const fleet::store_state& received, core::time_point now)
 {
-    const auto revision = received.get_configuration().get_revision();
-    if (!received.get_document().empty())
-    {
-        std::vector<core::error> reasons;
-        const auto next
-            = operators::decode_configuration(received.get_document(), reasons);
-        if (!next)
-        {
-            operators::write(
-                operators::event::make("configuration.unreadable")
-                    .with("number", received.get_configuration_number().get())
-                    .with("cause", reasons.front()));
-            return;
-        }
-        this->install(*next, revision, "daemon");
-    }
     if (this->number() < received.get_configuration_number())
     {
         return;
     }
     const std::lock_guard lock(this->mutex);
-    this->freshness
-        = this->freshness.with_revision_at_least(revision).after_peer_report(
-            received.get_configuration(), now);
+    this->freshness = this->freshness
+                          .with_revision_at_least(
+                              received.get_configuration().get_revision())
+                          .after_peer_report(received.get_configuration(), now);
 }
 
 void worker_replica::put(
--- a/src/main/entry_replicas.hpp
+++ b/src/main/entry_replicas.hpp
@@ -6,6 +6,8 @@
 #include "main/configuration_in_force.hpp"
 #include "main/store_freshness.hpp"
 #include "operators/configuration.hpp"
+#include "operators/configuration_change_index.hpp"
+#include "operators/configuration_part.hpp"
 #include "platform/listing.hpp"
 #include "upstream/listed_worker.hpp"
 #include "upstream/placement_state.hpp"
@@ -53,20 +55,24 @@
     fleet::store_position position(core::time_point now) const;
     /// The position from this daemon's own store reads only.
     fleet::store_position own_position(core::time_point now) const;
-    /// The configuration in force as a document if its number is above
-    /// `peer_number`; else empty.
-    std::string document_newer_than(core::version_number peer_number) const;
-    /// Applies the store state of another daemon.
+    std::optional<operators::configuration> in_force() const;
+    /// The changes of the configuration in force that a daemon requests.
+    operators::configuration_part part_after(
+        const operators::configuration_request& request) const;
+    /// Puts a version that another daemon sent in parts into force.
+    void on_transfer(const operators::configuration& received);
+    /// Records the position of another daemon's copy, unless its configuration
+    /// is newer than the one in force here.
     void merge(const fleet::store_state& received, core::time_point now);
 
 private:
-    void install(const operators::configuration& next,
-        core::store_revision revision, const char* source);
+    void install(const operators::configuration& next, const char* source);
 
     configuration_in_force& configuration;
     const store_reader_role& role;
     mutable std::mutex mutex;
     store_freshness freshness;
+    operators::configuration_change_index changes;
 };
 
 /// Applies the store's worker list, received from the store or from another
--- a/src/main/settings.cpp
+++ b/src/main/settings.cpp
@@ -329,6 +329,9 @@
     made.region = core::region_id(reader.read_string("daemon", "region"));
     made.threads = reader.read_count(
         "daemon", "threads", default_threads, 1, max_threads);
+    constexpr double max_capacity = 1e9;
+    made.capacity = static_cast<std::uint64_t>(
+        reader.read_number("daemon", "capacity", 0, 0, max_capacity));
     made.drain_delay
         = reader.read_duration("daemon", "drain_delay", default_drain_delay);
     made.drain_limit
--- a/src/main/settings.hpp
+++ b/src/main/settings.hpp
@@ -8,6 +8,7 @@
 #include "upstream/worker_placement.hpp"
 
 #include <compare>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string_view>
@@ -30,6 +31,10 @@
     /// Threads that run requests and control work.
     int get_threads() const { return this->threads; }
 
+    /// Relative capacity of this host, which decides which daemons of a zone
+    /// read and merge for the others.
+    std::uint64_t get_capacity() const { return this->capacity; }
+
     /// Time between failing the balancer's check and closing the listener.
     core::milliseconds get_drain_delay() const { return this->drain_delay; }
 
@@ -95,6 +100,7 @@
     core::zone_id zone;
     core::region_id region;
     int threads = 0;
+    std::uint64_t capacity = 0;
     core::milliseconds drain_delay{};
     core::milliseconds drain_limit{};
     core::endpoint caller_endpoint;
--- a/src/main/store_state_synchronizer.cpp
+++ b/src/main/store_state_synchronizer.cpp
@@ -1,6 +1,7 @@
 #include "main/store_state_synchronizer.hpp"
 
 #include "core/runtime_timer.hpp"
+#include "operators/event.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -11,16 +12,12 @@
 
 namespace {
 
-    /// Returns `own` with the content that the peer lacks.
-    fleet::store_state add_missing_content(const fleet::store_state& peer,
-        const fleet::store_state& own,
-        const configuration_replica& configuration,
-        const worker_replica& workers)
+    /// Returns `own` with the changes of workers that the peer lacks.
+    fleet::store_state add_missing_workers(const fleet::store_state& peer,
+        const fleet::store_state& own, const worker_replica& workers)
     {
-        const auto filled = own.with_configuration(
-            configuration.document_newer_than(peer.get_configuration_number()));
         auto changes = workers.changes_since(peer.get_workers().get_revision());
-        return changes ? filled.with_changes(std::move(*changes)) : filled;
+        return changes ? own.with_changes(std::move(*changes)) : own;
     }
 
 } // namespace
@@ -58,8 +55,76 @@
 {
     const auto now = core::runtime_clock::now();
     this->merge(received, now);
-    return add_missing_content(
-        received, this->zone_state(now), this->configuration, this->workers);
+    return add_missing_workers(received, this->zone_state(now), this->workers);
+}
+
+operators::configuration_part store_state_synchronizer::answer(
+    const operators::configuration_request& received) const
+{
+    return this->configuration.part_after(received);
+}
+
+asio::awaitable<void> store_state_synchronizer::accept(
+    fleet::configuration_offer offer)
+{
+    const auto sender = this->zone.find(offer.get_sender());
+    if (sender && offer.get_number() > this->configuration.number())
+    {
+        co_await this->fetch_configuration(*sender);
+    }
+}
+
+asio::awaitable<bool> store_state_synchronizer::fetch_configuration(
+    fleet::member sender)
+{
+    if (this->is_fetching.exchange(true))
+    {
+        co_return false;
+    }
+    auto assembly = operators::configuration_assembly::make(
+        this->configuration.in_force());
+    std::optional<operators::configuration_part> part;
+    do
+    {
+        fleet::message request(assembly.get_next());
+        part = co_await this->zone.exchange<operators::configuration_part>(
+            sender, std::move(request));
+        if (part)
+        {
+            assembly.add(*part);
+        }
+    } while (part && !assembly.is_complete());
+    if (part)
+    {
+        this->install(assembly, sender);
+    }
+    this->is_fetching = false;
+    co_return part.has_value();
+}
+
+void store_state_synchronizer::install(
+    const operators::configuration_assembly& assembly,
+    const fleet::member& sender)
+{
+    std::vector<core::error> reasons;
+    const auto received = assembly.finish(reasons);
+    if (received)
+    {
+        this->configuration.on_transfer(*received);
+        return;
+    }
+    operators::write(operators::event::make("configuration.unreadable")
+                         .with("sender", sender.get_id())
+                         .with("cause", reasons.front()));
+}
+
+asio::awaitable<void> store_state_synchronizer::offer_configuration(
+    fleet::member aggregator)
+{
+    fleet::message offer(fleet::configuration_offer::make(
+        this->zone.self().get_id(), this->configuration.number()));
+    co_await this->zone.exchange<fleet::receipt>(
+        std::move(aggregator), std::move(offer));
 }
 
 bool store_state_synchronizer::is_ahead_of_aggregator() const
@@ -91,12 +156,21 @@
         this->aggregator = aggregators.front().get_id();
         this->aggregator_state = own;
     }
-    fleet::message sent(add_missing_content(
-        this->aggregator_state, own, this->configuration, this->workers));
+    fleet::message sent(
+        add_missing_workers(this->aggregator_state, own, this->workers));
     const auto reply = co_await this->zone.exchange<fleet::store_state>(
         aggregators.front(), std::move(sent));
     if (reply)
     {
+        const auto number = this->configuration.number();
+        if (reply->get_configuration_number() > number)
+        {
+            co_await this->fetch_configuration(aggregators.front());
+        }
+        else if (reply->get_configuration_number() < number)
+        {
+            co_await this->offer_configuration(aggregators.front());
+        }
         this->merge(*reply, started_at);
         this->aggregator_state = reply->without_content();
     }
--- a/src/main/store_state_synchronizer.hpp
+++ b/src/main/store_state_synchronizer.hpp
@@ -4,6 +4,8 @@
 #include "fleet/store_state.hpp"
 #include "main/entry_replicas.hpp"
 #include "main/zone_synchronizer.hpp"
+#include "operators/configuration_assembly.hpp"
+#include "operators/configuration_part.hpp"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -46,8 +48,21 @@
 
     /// Merges the state of a daemon of the zone and returns what it lacks.
     fleet::store_state answer(const fleet::store_state& received);
+    /// Returns the changes of the configuration that a daemon requests.
+    operators::configuration_part answer(
+        const operators::configuration_request& received) const;
+    /// Requests the changes of a newer configuration from the daemon that has
+    /// it.
+    boost::asio::awaitable<void> accept(fleet::configuration_offer offer);
 
 private:
+    /// Requests the changes that the sender has, one part after the other, so
+    /// that a part fits the time limit of an exchange on a slow link. False if
+    /// the sender did not reply or another transfer is running.
+    boost::asio::awaitable<bool> fetch_configuration(fleet::member sender);
+    void install(const operators::configuration_assembly& assembly,
+        const fleet::member& sender);
+    boost::asio::awaitable<void> offer_configuration(fleet::member aggregator);
     /// False if the aggregator did not reply.
     boost::asio::awaitable<bool> exchange();
     /// From this daemon's own store reads only. This is sent to the aggregator,
@@ -65,6 +80,7 @@
     /// The aggregator's state at the last exchange. Used by run() only.
     core::daemon_id aggregator;
     fleet::store_state aggregator_state;
+    std::atomic<bool> is_fetching{ false };
     std::atomic<bool> stopped{ false };
 };
 
--- a/src/main/zone_synchronizer.cpp
+++ b/src/main/zone_synchronizer.cpp
@@ -1,6 +1,5 @@
 #include "main/zone_synchronizer.hpp"
 
-#include "core/rendezvous.hpp"
 #include "core/runtime_timer.hpp"
 #include "operators/event.hpp"
 
@@ -112,26 +111,18 @@
 std::vector<fleet::member> zone_synchronizer::aggregators(
     std::size_t count, core::time_point now) const
 {
-    std::vector<core::daemon_id> candidates;
+    std::vector<fleet::member> candidates;
     for (const fleet::member& each : this->members())
     {
         const auto until = this->avoided_until.find(each.get_id());
         if (each.get_zone() == this->identity.get_zone()
             && (!until || now >= *until))
         {
-            candidates.push_back(each.get_id());
+            candidates.push_back(each);
         }
     }
-    std::vector<fleet::member> selected;
-    for (const core::daemon_id& each : core::rendezvous_top(
-             this->identity.get_zone().str(), candidates, count))
-    {
-        if (const auto found = this->find(each))
-        {
-            selected.push_back(*found);
-        }
-    }
-    return selected;
+    return fleet::select_zone_aggregators(
+        this->identity.get_zone(), std::move(candidates), count);
 }
 
 void zone_synchronizer::avoid_aggregator(
--- a/src/main/zone_synchronizer.hpp
+++ b/src/main/zone_synchronizer.hpp
@@ -57,9 +57,10 @@
     void send(const core::daemon_id& peer, fleet::message content);
 
     std::vector<fleet::member> members() const;
+    std::optional<fleet::member> find(const core::daemon_id& id) const;
 
-    /// The first `count` aggregators of this zone, in rendezvous order, without
-    /// those that recently failed to reply.
+    /// The first `count` aggregators of this zone, without those that recently
+    /// failed to reply.
     std::vector<fleet::member> aggregators(
         std::size_t count, core::time_point now) const;
 
@@ -90,7 +91,6 @@
     boost::asio::awaitable<fleet::message> answer(fleet::message received);
     fleet::zone_report make_report(core::time_point now);
     void store_view(const fleet::zone_view& view, core::time_point now);
-    std::optional<fleet::member> find(const core::daemon_id& id) const;
 
     boost::asio::io_context& context;
     fleet::member identity;
--- a/src/operators/configuration.cpp
+++ b/src/operators/configuration.cpp
@@ -53,9 +53,8 @@
     }
 
     void report_duplicate_routes(
-        std::vector<route> routes, std::vector<core::error>& reasons)
+        const std::vector<route>& routes, std::vector<core::error>& reasons)
     {
-        std::sort(routes.begin(), routes.end());
         for (std::size_t i = 1; i < routes.size(); ++i)
         {
             const route& one = routes[i - 1];
@@ -115,6 +114,7 @@
     const std::size_t faults_before = reasons.size();
     sort_by_id(services);
     sort_by_id(kinds);
+    std::sort(routes.begin(), routes.end());
     report_duplicates("service", services, reasons);
     report_duplicates("kind", kinds, reasons);
     report_duplicate_routes(routes, reasons);
--- a/src/operators/configuration.hpp
+++ b/src/operators/configuration.hpp
@@ -46,6 +46,8 @@
 
     /// Sorted by id.
     const std::vector<kind_settings>& get_kinds() const { return this->kinds; }
+
+    /// Sorted by host, method and path.
     const std::vector<route>& get_routes() const { return this->routes; }
 
     /// Longest time limit that a caller may request, in milliseconds.
--- a/tests/fleet/message_size_test.cpp
+++ b/tests/fleet/message_size_test.cpp
@@ -1,5 +1,7 @@
 #include "fleet/message_codec.hpp"
 
+#include "operators/configuration_change_index.hpp"
+
 #include <catch2/catch.hpp>
 
 #include <iostream>
@@ -29,6 +31,35 @@
 
 } // namespace
 
+// Guards against a part of a configuration that holds up the reports of workers
+// on the same connection: the slowest link carries 1,250 bytes in a millisecond
+// and its daemon may send to all others of its zone, 40 at the target size, in
+// the 300 ms of an exchange.
+TEST_CASE("a part of a configuration is small", "[fleet]")
+{
+    core::error reason;
+    std::vector<operators::kind_entry> entries;
+    for (std::size_t i = 0;
+         i < operators::configuration_change_index::max_part_size; ++i)
+    {
+        const core::kind_id id("r-fund-allocation-" + std::to_string(i));
+        const auto settings = operators::kind_settings::create(id,
+            core::service_id("round-ledger"), false, core::rank::urgent,
+            core::milliseconds(8000), core::byte_count(1U << 26U), reason);
+        const auto route = operators::route::create(operators::any_method,
+            "/district-" + std::to_string(i) + "/fund/", id, reason);
+        entries.push_back(operators::kind_entry::make(
+            settings->with_split({ operators::service_weight::make(
+                                       core::service_id("round-ledger"), 90),
+                operators::service_weight::make(
+                    core::service_id("tally-view"), 10) }),
+            { route->with_host("ballots.example") }));
+    }
+    const auto part = operators::configuration_part::make(
+        operators::configuration_request(), entries);
+    CHECK(size_of(part) * 40 < 1250 * 300);
+}
+
 // Guards against pings that exceed the limit of 10 KB/s of control traffic per
 // daemon: four pings a second, in and out, each with the most updates.
 TEST_CASE("the largest ping fits the traffic target", "[fleet]")
--- a/tests/main/settings_test.cpp
+++ b/tests/main/settings_test.cpp
@@ -58,6 +58,12 @@
     CHECK(read->get_drain_delay() == core::milliseconds(250));
     CHECK(read->get_drain_limit() == core::milliseconds(5000));
     CHECK(read->get_seeds().size() == 1);
+    CHECK(read->get_capacity() == 0);
+    const auto sized = main::settings::create(
+        replaced("threads = 3", "threads = 3\ncapacity = 10.5"), "file",
+        faults);
+    REQUIRE(sized);
+    CHECK(sized->get_capacity() == 10);
 }
 
 // Guards against a daemon that starts with only a part of its settings.
