--- a/src/core/runtime_timer.hpp
+++ b/src/core/runtime_timer.hpp
@@ -57,6 +57,33 @@
         boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
 }
 
+/// Waits until `expiry`, which others on the same strand may move, is reached;
+/// returns early, without an error, when cancelled.
+inline boost::asio::awaitable<void> wait_past(const time_point& expiry)
+{
+    auto state = co_await boost::asio::this_coro::cancellation_state;
+    while (runtime_clock::now() < expiry
+        && state.cancelled() == boost::asio::cancellation_type::none)
+    {
+        co_await wait_until(expiry);
+        state = co_await boost::asio::this_coro::cancellation_state;
+    }
+}
+
+/// Like with_deadline(), but the operation may move `expiry` while it runs.
+template <class Result>
+boost::asio::awaitable<std::optional<Result>> with_moving_deadline(
+    boost::asio::awaitable<Result> operation, const time_point& expiry)
+{
+    using namespace boost::asio::experimental::awaitable_operators;
+    auto first = co_await (std::move(operation) || wait_past(expiry));
+    if (first.index() == 0)
+    {
+        co_return std::get<0>(std::move(first));
+    }
+    co_return std::nullopt;
+}
+
 /// Runs an operation until `expiry`. Returns nothing if it did not finish by
 /// then and was cancelled.
 template <class Result>
--- a/src/platform/service_client.cpp
+++ b/src/platform/service_client.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace pollenward::platform {
@@ -23,6 +24,8 @@
     /// that a reused connection has rarely been closed by the server.
     constexpr core::seconds max_idle_time{ 15 };
     constexpr std::size_t max_idle_connections = 4;
+    /// Longest time for which a response that arrives slowly is read.
+    constexpr core::seconds max_call_time{ 10 };
     /// A waiting watch has nothing to send, so only keepalive probes detect a
     /// silent connection, after 3 s.
     constexpr core::keepalive_times service_keepalive{ 1, 1, 2, 3000 };
@@ -118,8 +121,10 @@
 }
 
 asio::awaitable<service_reply> service_client::exchange(
-    std::unique_ptr<connection> opened, const service_call& call)
+    std::unique_ptr<connection> opened, const service_call& call,
+    core::time_point& expiry)
 {
+    const auto last_expiry = core::runtime_clock::now() + max_call_time;
     const bool is_reused = opened != nullptr;
     service_reply reply;
     if (!is_reused)
@@ -135,8 +140,18 @@
         = co_await http::async_write(opened->socket, request, tuple_awaitable);
     http::response_parser<http::string_body> incoming;
     incoming.body_limit(max_response_bytes);
-    const auto [read_failure, count] = co_await http::async_read(
-        opened->socket, opened->buffer, incoming, tuple_awaitable);
+    std::size_t count = 0;
+    boost::system::error_code read_failure;
+    while (!write_failure && !read_failure && !incoming.is_done())
+    {
+        const auto [ended, size] = co_await http::async_read_some(
+            opened->socket, opened->buffer, incoming, tuple_awaitable);
+        read_failure = ended;
+        count += size;
+        const auto extended
+            = core::runtime_clock::now() + call.progress_timeout;
+        expiry = std::max(expiry, std::min(extended, last_expiry));
+    }
     if (write_failure || read_failure)
     {
         const auto& first = write_failure ? write_failure : read_failure;
@@ -155,17 +170,17 @@
 
 asio::awaitable<service_reply> service_client::call(service_call call)
 {
-    const auto expiry = core::runtime_clock::now() + call.timeout;
+    auto expiry = core::runtime_clock::now() + call.timeout;
     const auto count
         = [&] { ++this->calls[static_cast<std::size_t>(call.kind)]; };
     count();
-    auto reply = co_await core::with_deadline(
-        this->exchange(this->acquire_idle(call.kind), call), expiry);
+    auto reply = co_await core::with_moving_deadline(
+        this->exchange(this->acquire_idle(call.kind), call, expiry), expiry);
     if (reply && reply->is_stale_connection && call.kind != call_kind::put)
     {
         count();
-        reply = co_await core::with_deadline(
-            this->exchange(nullptr, call), expiry);
+        reply = co_await core::with_moving_deadline(
+            this->exchange(nullptr, call, expiry), expiry);
     }
     co_return reply ? std::move(*reply)
                     : service_reply{ .cause = "no response in time" };
--- a/src/platform/service_client.hpp
+++ b/src/platform/service_client.hpp
@@ -30,6 +30,9 @@
     core::header_fields headers{};
     std::string body{};
     core::duration timeout{};
+    /// While the response arrives, the call goes on for this long after each
+    /// piece of it: a large response on a slow link is not a lost one.
+    core::duration progress_timeout{};
 };
 
 /// The reply to a call; a status of 0 means that there was no whole response,
@@ -70,7 +73,8 @@
     boost::asio::awaitable<std::unique_ptr<connection>> connect(
         std::string& cause) const;
     boost::asio::awaitable<service_reply> exchange(
-        std::unique_ptr<connection> opened, const service_call& call);
+        std::unique_ptr<connection> opened, const service_call& call,
+        core::time_point& expiry);
     std::unique_ptr<connection> acquire_idle(call_kind kind);
     void store_idle(call_kind kind, std::unique_ptr<connection> opened);
 
--- a/tests/adapter/object_store_test.cpp
+++ b/tests/adapter/object_store_test.cpp
@@ -1,6 +1,7 @@
 #include "object_store.hpp"
 
-#include "../upstream/scripted_worker.hpp"
+#include "main/slow_link.hpp"
+#include "upstream/scripted_worker.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -24,6 +25,14 @@
         + R"("},"Spec":{"address":"10.0.0.1:7200","zone":"a","incarnation":1}})";
 }
 
+std::string worker_object(const std::string& name)
+{
+    return R"({"Metadata":{"Name":")" + name
+        + R"("},"Spec":{"Service":"s","Address":"10.0.0.9:80","Zone":"a",)"
+          R"("Version":"v1","Slots":6,"State":"ready","WarmupLeftS":0,)"
+          R"("Sequence":4}})";
+}
+
 /// A store that sends scripted replies and records the first lines of requests;
 /// an empty reply closes the connection, "silent" leaves the call without one.
 class store_fixture {
@@ -131,6 +140,46 @@
     CHECK(fixture.lines[0] == "GET /objects/servers?Watch=9&WaitMs=100");
 }
 
+// Guards against a storm of large versions that keeps a slow daemon busy with
+// those that are already replaced.
+TEST_CASE(
+    "a watch reports the last of several changes of an object", "[adapter]")
+{
+    store_fixture fixture({ reply("200 OK",
+        R"({"events":[{"Deleted":false,"Object":)" + worker_object("w-1")
+            + R"(},{"Deleted":false,"Object":)" + worker_object("w-2")
+            + R"(},{"Deleted":true,"Object":)" + worker_object("w-1")
+            + R"(}],"StoreRevision":12})") });
+    const auto changes = run_to_end(fixture.context,
+        fixture.store.watch<upstream::listed_worker>(
+            platform::store_revision(9), core::milliseconds(100)));
+    REQUIRE(changes.get_objects().size() == 2);
+    CHECK(changes.get_objects()[0].get_name() == "w-1");
+    CHECK_FALSE(changes.get_objects()[0].get_value());
+    CHECK(changes.get_objects()[1].get_value());
+}
+
+// Guards against a daemon on a slow link that takes a store for lost which is
+// sending it several versions of a large configuration.
+TEST_CASE("a large response on a slow link is read to its end", "[adapter]")
+{
+    // At this bandwidth the response takes two seconds, the call one.
+    constexpr std::size_t bandwidth = 125'000;
+    const std::string filler(2 * bandwidth, 'x');
+    store_fixture fixture({ reply("200 OK",
+        R"({"events":[{"Deleted":false,"Object":{"Metadata":{"Name":"w","Note":")"
+            + filler + R"("},"Spec":3}}],"StoreRevision":12})") });
+    const test::slow_link link(
+        fixture.context, fixture.server.get_worker().get_address(), bandwidth);
+    adapter::object_store store(
+        store_fixture::make_settings(link.get_endpoint().str()));
+    const auto changes = run_to_end(fixture.context,
+        store.watch<upstream::listed_worker>(
+            platform::store_revision(9), core::milliseconds(10)));
+    CHECK(changes.get_status() == listing_status::changes);
+    CHECK(changes.get_objects().size() == 1);
+}
+
 // Guards against a daemon that continues from a discarded history, or mistakes
 // a failure for an empty list.
 TEST_CASE(
