Keep the limits of requests a second that workers state

Cause: nothing read Server-Limit.

A statement of no limit ends it. A row of a report has the limit only if there is one, so that daemons of earlier versions read the others.

--- a/src/fleet/zone_codec.cpp
+++ b/src/fleet/zone_codec.cpp
@@ -77,14 +77,39 @@
             });
     }
 
+    json encode_rate(const rate_summary& rate)
+    {
+        json fields = json::array(
+            { static_cast<std::uint64_t>(rate.get_age().count()) });
+        if (rate.get_per_second())
+        {
+            fields.push_back(*rate.get_per_second());
+        }
+        return fields;
+    }
+
+    rate_summary decode_rate(array_reader& fields)
+    {
+        const auto age = fields.read_milliseconds();
+        return rate_summary::make(age,
+            fields.remaining() == 0 ? std::nullopt
+                                    : std::optional(fields.read_real()));
+    }
+
     json encode_workers(const std::vector<worker_summary>& workers)
     {
         json rows = json::array();
         for (const worker_summary& each : workers)
         {
-            rows.push_back(json::array(
+            json row = json::array(
                 { each.get_worker().str(), encode_samples(each.get_samples()),
-                    each.get_in_flight(), encode_load(each.get_load()) }));
+                    each.get_in_flight(), encode_load(each.get_load()) });
+            // Earlier versions of the daemon accept only rows without it.
+            if (const auto& rate = each.get_rate())
+            {
+                row.push_back(encode_rate(*rate));
+            }
+            rows.push_back(std::move(row));
         }
         return rows;
     }
@@ -95,8 +120,11 @@
         auto samples = decode_samples(fields);
         const auto in_flight = fields.read_number(max_in_flight);
         const auto load = decode_load(fields);
-        return worker_summary::make(
+        const auto made = worker_summary::make(
             std::move(worker), std::move(samples), in_flight, load);
+        return fields.remaining() == 0
+            ? made
+            : made.with_rate(fields.read_nested(decode_rate));
     }
 
     json encode_latencies(const std::vector<service_latencies>& latencies)
--- a/src/fleet/zone_report.cpp
+++ b/src/fleet/zone_report.cpp
@@ -30,8 +30,12 @@
         load = load_summary::make(age_of(reported->get_at(), now),
             reported->get_running(), reported->get_waiting());
     }
-    return make(worker, std::move(samples),
+    const auto made = make(worker, std::move(samples),
         static_cast<std::uint64_t>(traffic.get_in_flight()), load);
+    const auto& rate = traffic.get_rate();
+    return rate ? made.with_rate(rate_summary::make(
+               age_of(rate->get_at(), now), rate->get_per_second()))
+                : made;
 }
 
 upstream::worker_traffic worker_summary::to_traffic(core::time_point now) const
@@ -50,8 +54,11 @@
         hint = upstream::load_hint::make(this->load->get_running(),
             this->load->get_waiting(), now - this->load->get_age());
     }
-    return upstream::worker_traffic::make(
+    const auto made = upstream::worker_traffic::make(
         std::move(restored), static_cast<int>(this->in_flight), hint);
+    return this->rate ? made.with_rate(upstream::rate_statement::make(
+               this->rate->get_per_second(), now - this->rate->get_age()))
+                      : made;
 }
 
 } // namespace pollenward::fleet
--- a/src/fleet/zone_report.hpp
+++ b/src/fleet/zone_report.hpp
@@ -61,6 +61,33 @@
     double waiting = 0;
 };
 
+/// The requests a second that a worker stated to accept, and the age of that
+/// statement.
+class rate_summary {
+public:
+    static rate_summary make(
+        core::milliseconds age, std::optional<double> per_second)
+    {
+        rate_summary made;
+        made.age = age;
+        made.per_second = per_second;
+        return made;
+    }
+
+    core::milliseconds get_age() const { return this->age; }
+    /// Nothing if the worker stated that it has no limit any more.
+    const std::optional<double>& get_per_second() const
+    {
+        return this->per_second;
+    }
+
+    auto operator<=>(const rate_summary&) const = default;
+
+private:
+    core::milliseconds age{};
+    std::optional<double> per_second;
+};
+
 /// The requests that one or more daemons recently sent to a worker.
 class worker_summary {
 public:
@@ -76,6 +103,13 @@
         return made;
     }
 
+    worker_summary with_rate(const rate_summary& stated) const
+    {
+        worker_summary next = *this;
+        next.rate = stated;
+        return next;
+    }
+
     static worker_summary of(const core::worker_id& worker,
         const upstream::worker_traffic& traffic, core::time_point now);
 
@@ -86,6 +120,8 @@
     }
     std::uint64_t get_in_flight() const { return this->in_flight; }
     const std::optional<load_summary>& get_load() const { return this->load; }
+    /// Nothing if the worker never stated a limit.
+    const std::optional<rate_summary>& get_rate() const { return this->rate; }
 
     upstream::worker_traffic to_traffic(core::time_point now) const;
 
@@ -96,6 +132,7 @@
     std::vector<send_sample_summary> samples;
     std::uint64_t in_flight = 0;
     std::optional<load_summary> load;
+    std::optional<rate_summary> rate;
 };
 
 /// Latencies of the answers of a service.
--- a/src/main/entry_daemon.hpp
+++ b/src/main/entry_daemon.hpp
@@ -29,6 +29,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <map>
 #include <random>
 #include <string>
 #include <utility>
@@ -318,6 +319,13 @@
         }
         this->dispatcher.get_allowances().set_daemons(
             static_cast<double>(members.size()));
+        std::map<core::zone_id, std::vector<core::daemon_id>> by_zone;
+        for (const fleet::member& each : members)
+        {
+            by_zone[each.get_zone()].push_back(each.get_id());
+        }
+        this->placement.store_daemons(
+            this->initial_settings.get_id(), std::move(by_zone));
         this->zone.set_members(std::move(members));
         return is_listed;
     }
--- a/src/upstream/attempt_result.hpp
+++ b/src/upstream/attempt_result.hpp
@@ -50,6 +50,15 @@
     return run_certainty::unknown;
 }
 
+/// Whether the worker that was addressed answered or refused the request.
+constexpr bool has_answer(attempt_result result)
+{
+    // A refusal as draining can come from another worker at the same address.
+    return result == attempt_result::answered
+        || result == attempt_result::refused_shed
+        || result == attempt_result::refused_expired;
+}
+
 /// Whether an attempt is evidence that the worker fails. A refusal before
 /// running is caused by load or a drain, not by a fault; `status` is that of an
 /// answer.
--- a/src/upstream/exchange_result.hpp
+++ b/src/upstream/exchange_result.hpp
@@ -29,6 +29,21 @@
         return made;
     }
 
+    /// A copy with the requests a second that the worker stated to accept.
+    exchange_result with_rate_limit(std::optional<double> per_second) const
+    {
+        exchange_result next = *this;
+        next.rate_limit = per_second;
+        return next;
+    }
+
+    /// Requests a second that the worker accepts from all daemons together;
+    /// nothing if its answer states no limit.
+    const std::optional<double>& get_rate_limit() const
+    {
+        return this->rate_limit;
+    }
+
     attempt_result get_result() const { return this->result; }
     const core::error& get_cause() const { return this->cause; }
 
@@ -48,6 +63,7 @@
 private:
     attempt_result result = attempt_result::not_sent;
     std::optional<response_message> response;
+    std::optional<double> rate_limit;
     core::error cause;
 };
 
--- a/src/upstream/placement_state.cpp
+++ b/src/upstream/placement_state.cpp
@@ -1,5 +1,7 @@
 #include "upstream/placement_state.hpp"
 
+#include "upstream/rate_share.hpp"
+
 #include <algorithm>
 #include <map>
 #include <set>
@@ -59,6 +61,7 @@
         return present.count(who) == 0;
     };
     this->excluded.erase_if(is_absent);
+    this->next_sends.erase_if(is_absent);
     this->own.erase_if(
         [&](const core::worker_id& who, const worker_traffic& each) {
             return each.get_in_flight() == 0 && present.count(who) == 0;
@@ -106,13 +109,19 @@
             continue;
         }
         const worker_traffic traffic = this->traffic_of(who.get_id(), now);
+        const auto limit = traffic.rate_limit(now);
+        if (limit && !this->may_send(who, *limit, now))
+        {
+            continue;
+        }
         const auto last_sent = traffic.get_last_sent();
         found.push_back(placement_candidate::make(each,
             this->zones.distance_to(who.get_zone()),
             loss_probability(faulty_probability(traffic.get_samples(),
                                  latencies, this->model, now),
                 this->model),
-            load_of(traffic, now), last_sent ? now - *last_sent : never_used));
+            load_of(traffic, now), last_sent ? now - *last_sent : never_used)
+                            .with_rate_limit(limit.has_value()));
     }
     return found;
 }
@@ -143,9 +152,68 @@
         this->latencies.find(service).value_or(latency_sums()), prior_median);
 }
 
-void placement_state::record_send(
-    const core::worker_id& who, core::time_point now)
+std::optional<core::duration> placement_state::send_interval_of(
+    const worker& target, double per_second) const
+{
+    return this->daemons.read(
+        [&](const sending_daemons& all) -> std::optional<core::duration> {
+            const auto found = all.by_zone.find(target.get_zone());
+            if (found != all.by_zone.end() && !found->second.empty())
+            {
+                return send_interval(
+                    target.get_id(), per_second, all.self, found->second);
+            }
+            // A worker in a zone without daemons serves all zones.
+            std::vector<core::daemon_id> any;
+            for (const auto& [zone, daemons] : all.by_zone)
+            {
+                any.insert(any.end(), daemons.begin(), daemons.end());
+            }
+            return send_interval(target.get_id(), per_second, all.self, any);
+        });
+}
+
+bool placement_state::may_send(
+    const worker& target, double per_second, core::time_point now) const
+{
+    const auto next = this->next_sends.find(target.get_id());
+    return (!next || now >= *next)
+        && this->send_interval_of(target, per_second).has_value();
+}
+
+void placement_state::pace_sends(const worker& target, core::time_point now)
+{
+    const auto limit = this->traffic_of(target.get_id(), now).rate_limit(now);
+    const auto interval
+        = limit ? this->send_interval_of(target, *limit) : std::nullopt;
+    if (interval)
+    {
+        this->next_sends.store(target.get_id(), now + *interval);
+    }
+}
+
+void placement_state::record_rate(const core::worker_id& who,
+    std::optional<double> per_second, core::time_point now)
+{
+    this->own.update(who, [&](const std::optional<worker_traffic>& present) {
+        const bool is_stated = per_second || (present && present->get_rate());
+        return is_stated ? std::optional(
+                   present.value_or(worker_traffic())
+                       .with_rate(rate_statement::make(per_second, now)))
+                         : present;
+    });
+}
+
+void placement_state::store_daemons(const core::daemon_id& self,
+    std::map<core::zone_id, std::vector<core::daemon_id>> by_zone)
+{
+    this->daemons.store({ self, std::move(by_zone) });
+}
+
+void placement_state::record_send(const worker& target, core::time_point now)
 {
+    const core::worker_id& who = target.get_id();
+    this->pace_sends(target, now);
     this->own.visit(
         who, [] { return worker_traffic(); },
         [&](worker_traffic& mine) { mine = mine.with_send(now); });
--- a/src/upstream/placement_state.hpp
+++ b/src/upstream/placement_state.hpp
@@ -3,6 +3,7 @@
 #include "core/ids.hpp"
 #include "core/runtime_clock.hpp"
 #include "core/sharded_map.hpp"
+#include "core/sharded_snapshot.hpp"
 #include "upstream/fault_estimate.hpp"
 #include "upstream/latency_profile.hpp"
 #include "upstream/listed_worker.hpp"
@@ -13,6 +14,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -51,11 +53,17 @@
     latency_profile profile(const core::service_id& service) const;
 
     /// Records a send. Its end must be recorded once, with `now` as `sent_at`.
-    void record_send(const core::worker_id& who, core::time_point now);
+    void record_send(const worker& target, core::time_point now);
     void record_send_end(const core::service_id& service,
         const core::worker_id& who, core::time_point sent_at,
         std::optional<sample_state> state, core::time_point now);
     void record_load(const core::worker_id& who, const load_hint& load);
+    /// Records whether the last answer of a worker stated a limit.
+    void record_rate(const core::worker_id& who,
+        std::optional<double> per_second, core::time_point now);
+    /// Replaces the daemons among which the limits of workers are divided.
+    void store_daemons(const core::daemon_id& self,
+        std::map<core::zone_id, std::vector<core::daemon_id>> by_zone);
     /// Records whether the network path from this daemon to the worker works.
     void record_path_result(const core::service_id& service,
         const core::worker_id& who, attempt_result result,
@@ -77,6 +85,19 @@
     void store_zone_latencies(const std::vector<named_latencies>& latencies);
 
 private:
+    /// The daemons that may send to a worker with a limit.
+    struct sending_daemons {
+        core::daemon_id self;
+        std::map<core::zone_id, std::vector<core::daemon_id>> by_zone;
+    };
+
+    /// Nothing if other daemons use the limit of the worker.
+    std::optional<core::duration> send_interval_of(
+        const worker& target, double per_second) const;
+    bool may_send(
+        const worker& target, double per_second, core::time_point now) const;
+    /// Delays this daemon's next send to a worker with a limit.
+    void pace_sends(const worker& target, core::time_point now);
     worker_traffic traffic_of(
         const core::worker_id& who, core::time_point now) const;
 
@@ -89,6 +110,9 @@
     core::sharded_map<core::service_id, latency_sums> fresh_latencies;
     core::sharded_map<core::service_id, latency_sums> latencies;
     core::sharded_map<core::worker_id, bool> excluded;
+    core::sharded_snapshot<sending_daemons> daemons{ sending_daemons() };
+    /// When this daemon may send to a worker with a limit again.
+    core::sharded_map<core::worker_id, core::time_point> next_sends;
     path_failure_tracker paths;
     std::atomic<bool> has_activity{ false };
 };
--- a/src/upstream/placing_dispatcher.hpp
+++ b/src/upstream/placing_dispatcher.hpp
@@ -230,7 +230,7 @@
         request_send& send = in_flight.sends.back();
         send.target = place.get_worker();
         send.started_at = now;
-        this->placement.record_send(worker_id, now);
+        this->placement.record_send(place.get_worker().get_worker(), now);
         boost::asio::co_spawn(in_flight.wake_timer.get_executor(),
             this->run_send(shared, in_flight.sends.size() - 1),
             boost::asio::bind_cancellation_slot(send.cancel.slot(),
@@ -350,6 +350,11 @@
         {
             this->placement.record_path_result(service, worker_id, result, now);
         }
+        if (has_answer(result))
+        {
+            this->placement.record_rate(
+                worker_id, ended.result->get_rate_limit(), now);
+        }
         if (result == attempt_result::refused_draining)
         {
             this->placement.exclude_worker(worker_id);
--- a/src/upstream/worker_placement.hpp
+++ b/src/upstream/worker_placement.hpp
@@ -34,6 +34,14 @@
         return made;
     }
 
+    /// A copy for a worker that states a limit of its requests a second.
+    placement_candidate with_rate_limit(bool is_limited) const
+    {
+        placement_candidate next = *this;
+        next.limited = is_limited;
+        return next;
+    }
+
     const listed_worker& get_worker() const { return this->who; }
     zone_distance get_distance() const { return this->distance; }
     double get_loss() const { return this->loss; }
@@ -45,10 +53,11 @@
         return static_cast<double>(this->who.get_slots().get());
     }
 
-    /// Requests that it could start at once.
+    /// Requests that this daemon may start there at once.
     double get_free_slots() const
     {
-        return std::max(0.0, this->get_slots() - this->load);
+        const double free = std::max(0.0, this->get_slots() - this->load);
+        return this->limited ? std::min(free, 1.0) : free;
     }
 
     auto operator<=>(const placement_candidate&) const = default;
@@ -59,6 +68,7 @@
     double loss = 0;
     double load = 0;
     core::duration unused_for{};
+    bool limited = false;
 };
 
 using placement_candidates = std::vector<placement_candidate>;
--- a/src/upstream/worker_traffic.hpp
+++ b/src/upstream/worker_traffic.hpp
@@ -37,6 +37,33 @@
     core::time_point at = core::time_point::min();
 };
 
+/// What a worker last stated about the requests that it accepts.
+class rate_statement {
+public:
+    /// `per_second` counts the requests of all daemons; nothing if the worker
+    /// states no limit.
+    static rate_statement make(
+        std::optional<double> per_second, core::time_point at)
+    {
+        rate_statement made;
+        made.per_second = per_second;
+        made.at = at;
+        return made;
+    }
+
+    const std::optional<double>& get_per_second() const
+    {
+        return this->per_second;
+    }
+    core::time_point get_at() const { return this->at; }
+
+    auto operator<=>(const rate_statement&) const = default;
+
+private:
+    std::optional<double> per_second;
+    core::time_point at = core::time_point::min();
+};
+
 /// The recent requests of one or more daemons to one worker.
 class worker_traffic {
 public:
@@ -59,6 +86,16 @@
     const send_samples& get_samples() const { return this->samples; }
     int get_in_flight() const { return this->in_flight; }
     const std::optional<load_hint>& get_load() const { return this->load; }
+    const std::optional<rate_statement>& get_rate() const { return this->rate; }
+
+    /// Requests a second that the worker accepts from all daemons together;
+    /// nothing if it stated no limit recently.
+    std::optional<double> rate_limit(core::time_point now) const
+    {
+        return this->rate && now - this->rate->get_at() <= max_sample_age
+            ? this->rate->get_per_second()
+            : std::nullopt;
+    }
 
     std::optional<core::time_point> get_last_sent() const
     {
@@ -106,6 +143,13 @@
         return next;
     }
 
+    worker_traffic with_rate(const rate_statement& changed) const
+    {
+        worker_traffic next = *this;
+        next.rate = changed;
+        return next;
+    }
+
     /// The traffic of both, as if one daemon had sent all of it.
     worker_traffic merged(
         const worker_traffic& other, core::time_point now) const
@@ -118,13 +162,17 @@
         const bool is_newer = other.load
             && (!next.load || next.load->get_at() < other.load->get_at());
         next.load = is_newer ? other.load : next.load;
+        const bool is_rate_newer = other.rate
+            && (!next.rate || next.rate->get_at() < other.rate->get_at());
+        next.rate = is_rate_newer ? other.rate : next.rate;
         return next.trimmed(now);
     }
 
     /// Whether no request is in flight and all samples are too old.
     bool is_idle(core::time_point now) const
     {
-        return this->in_flight == 0 && this->trimmed(now).samples.empty();
+        return this->in_flight == 0 && this->trimmed(now).samples.empty()
+            && !this->rate_limit(now);
     }
 
     auto operator<=>(const worker_traffic&) const = default;
@@ -147,6 +195,7 @@
     send_samples samples;
     int in_flight = 0;
     std::optional<load_hint> load;
+    std::optional<rate_statement> rate;
 };
 
 } // namespace pollenward::upstream
--- a/tests/adapter/worker_codec_test.cpp
+++ b/tests/adapter/worker_codec_test.cpp
@@ -81,6 +81,31 @@
     CHECK(result_of(encoded) == attempt_result::broken_after_send);
 }
 
+// Guards against a worker in need that is sent more than it accepts because its
+// limit was read from successful answers only, or not at all.
+TEST_CASE("every answer of a worker can state a limit", "[adapter]")
+{
+    const auto limit_of
+        = [](upstream::worker_response response, const char* text) {
+              response.set("server-limit", text);
+              return worker_codec::decode_response(
+                  response, core::request_id("id-1"), core::endpoint())
+                  .get_rate_limit();
+          };
+    CHECK(limit_of(make_response(200, "id-1"), "2.25") == 2.25);
+    CHECK(limit_of(make_response(500, "id-1"), "3") == 3.0);
+    auto refusal = make_response(503, nullptr);
+    refusal.set("Not-Executed", "1");
+    CHECK(limit_of(refusal, "0") == 0.0);
+    for (const char* invalid : { "", "x", "1x", "-1", "inf", "nan", "1e999" })
+    {
+        CHECK_FALSE(limit_of(make_response(200, "id-1"), invalid));
+    }
+    CHECK_FALSE(worker_codec::decode_response(
+        make_response(200, "id-1"), core::request_id("id-1"), core::endpoint())
+                    .get_rate_limit());
+}
+
 TEST_CASE("a load report gives running and waiting requests", "[adapter]")
 {
     const auto load = [](const char* text) {
--- a/tests/fleet/zone_aggregator_test.cpp
+++ b/tests/fleet/zone_aggregator_test.cpp
@@ -80,6 +80,17 @@
     core::error reason;
     const message sent = report("one", "w", 900, sample_state::failed, 1);
     CHECK(decode_message(encode_message(sent), "peer", reason) == sent);
+    const auto bare
+        = worker_summary::make(core::worker_id("w"), {}, 2, std::nullopt);
+    for (const std::optional<double> limit :
+        { std::optional(2.25), std::optional<double>() })
+    {
+        const message stated = zone_report::make(core::daemon_id("one"),
+            { bare.with_rate(
+                rate_summary::make(core::milliseconds(70), limit)) },
+            {});
+        CHECK(decode_message(encode_message(stated), "peer", reason) == stated);
+    }
     const message view = zone_view::make(
         { worker_summary::make(core::worker_id("w"), {}, 0, std::nullopt) },
         {});
