Close a connection to a worker after a refusal

It can happen here: a refusal carries no request id, so a copy of it that arrives after the next request was written counts as the answer to that one.

Change: a connection is used again only after a response that carries the id of its request, in both codecs, so that no connection that is in use has carried a refusal before. A refused request costs one new connection.

--- a/src/upstream/exchange_codec.hpp
+++ b/src/upstream/exchange_codec.hpp
@@ -35,6 +35,12 @@
 
     static bool names_request(
         const worker_response& incoming, const core::request_id& id);
+
+    static bool has_id_of(
+        const worker_response& incoming, const core::request_id& id)
+    {
+        return names_request(incoming, id);
+    }
 };
 
 /// Whether a header field applies to one connection only. Forwarding a caller's
--- a/src/upstream/worker_connection.cpp
+++ b/src/upstream/worker_connection.cpp
@@ -212,6 +212,7 @@
             continue;
         }
         this->reusable = is_persistent && buffer.size() == 0
+            && rules.has_id_of(incoming, request.get_id())
             && !this->has_early_input && skipped == 0
             && !this->has_pending_input();
         co_return transfer_result{ parser.release(), exchange_result() };
--- a/src/upstream/worker_connection.hpp
+++ b/src/upstream/worker_connection.hpp
@@ -38,6 +38,11 @@
           {
               Type::names_request(incoming, request.get_id())
           } -> std::same_as<bool>;
+          // Whether the response carries the id of the request. One without an
+          // id may be a copy of an earlier one.
+          {
+              Type::has_id_of(incoming, request.get_id())
+          } -> std::same_as<bool>;
           // Whether a response without a length, ended by an orderly close, is
           // whole.
           {
@@ -60,9 +65,9 @@
 core::duration progress_limit(core::time_point deadline, core::time_point now);
 
 /// One connection to a worker. It carries one exchange at a time, and after an
-/// exchange that did not end with a whole response it is not reusable: a late
-/// response must never be read by the next request. A coroutine that uses it
-/// must run on a strand.
+/// exchange that did not end with a whole response that carries the id of the
+/// request it is not reusable: a late or repeated response must never be read
+/// by the next request. A coroutine that uses it must run on a strand.
 class worker_connection {
 public:
     worker_connection(
@@ -101,7 +106,8 @@
         const core::worker_id& worker_id = core::worker_id())
     {
         const response_rules rules{ Codec::accepts_close_delimited,
-            Codec::max_foreign_responses, &Codec::names_request };
+            Codec::max_foreign_responses, &Codec::names_request,
+            &Codec::has_id_of };
         auto read = co_await this->transfer(request,
             Codec::encode_header(request, worker_id, this->remote), rules);
         if (!read.response)
@@ -145,6 +151,7 @@
         bool accepts_close_delimited;
         int max_foreign_responses;
         bool (*names_request)(const worker_response&, const core::request_id&);
+        bool (*has_id_of)(const worker_response&, const core::request_id&);
     };
 
     /// A whole response, or why there is none.
--- a/tests/adapter/worker_codec_test.cpp
+++ b/tests/adapter/worker_codec_test.cpp
@@ -1,5 +1,8 @@
 #include "worker_codec.hpp"
 
+#include "upstream/scripted_worker.hpp"
+#include "upstream/worker_connection.hpp"
+
 #include <catch2/catch.hpp>
 
 using namespace pollenward;
@@ -106,6 +109,45 @@
                     .get_rate_limit());
 }
 
+// Guards against a copy of an earlier refusal that is taken for the answer to a
+// later request on the same connection: a refusal carries no id.
+TEST_CASE("a connection is not used again after a refusal", "[adapter]")
+{
+    using namespace upstream::testing;
+    const std::string refusal
+        = "HTTP/1.1 503 x\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    const std::string answer = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n"
+                               "Server-Signature: s\r\n"
+                               "Content-Length: 0\r\n\r\n";
+    for (const bool is_refused : { true, false })
+    {
+        asio::io_context context;
+        scripted_worker server(
+            context, [&](tcp::socket& socket, int) -> asio::awaitable<void> {
+                co_await read_header(socket);
+                co_await send_text(socket, is_refused ? refusal : answer);
+                co_await read_header(socket);
+            });
+        bool is_reusable = false;
+        const auto run = [&]() -> asio::awaitable<upstream::exchange_result> {
+            upstream::worker_connection connection(
+                co_await asio::this_coro::executor,
+                server.get_worker().get_address());
+            const auto request = make_request("a", false);
+            core::error reason;
+            co_await connection.connect(request.get_deadline(), reason);
+            auto result = co_await connection.exchange<worker_codec>(request);
+            is_reusable = connection.is_reusable();
+            co_return result;
+        };
+        const auto result = run_to_end(context, run());
+        CHECK(result.get_result()
+            == (is_refused ? attempt_result::refused_shed
+                           : attempt_result::answered));
+        CHECK(is_reusable == !is_refused);
+    }
+}
+
 TEST_CASE("a load report gives running and waiting requests", "[adapter]")
 {
     const auto load = [](const char* text) {
