Bound the bytes of a worker's answer that the parser cannot use

News of the users: a worker in trouble may send bytes without an end, in a head or a body, until the caller closes.

A head was bounded (8 KB) and a body too (16 MB), but not the frame of a chunk: an extension or a trailer without an end was collected until the deadline of the request.

Change: the buffer before the parser holds 64 KB at most.

--- a/src/upstream/worker_connection.cpp
+++ b/src/upstream/worker_connection.cpp
@@ -27,6 +27,9 @@
     constexpr core::milliseconds max_progress_limit{ 1000 };
     /// Bounds the memory that one response may use.
     constexpr std::uint64_t max_response_body = 16U << 20U;
+    /// Bounds the bytes that the parser cannot use yet, such as a line without
+    /// an end in a header or in the frame of a chunk.
+    constexpr std::size_t max_unparsed_bytes = 64U << 10U;
 
     /// A dead peer is detected after 5 s idle and three probes at intervals of
     /// 2 s; unacknowledged data ends the connection after 10 s.
@@ -169,7 +172,7 @@
     const forward_request& request, const response_rules& rules,
     io_watchdog& watchdog)
 {
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer(max_unparsed_bytes);
     for (int skipped = 0;; ++skipped)
     {
         http::response_parser<http::string_body> parser;
--- a/tests/upstream/worker_connection_test.cpp
+++ b/tests/upstream/worker_connection_test.cpp
@@ -2,10 +2,15 @@
 
 #include "scripted_worker.hpp"
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/cancellation_signal.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <utility>
+#include <vector>
+
 using namespace pollenward;
 using namespace pollenward::upstream;
 using namespace pollenward::upstream::testing;
@@ -100,6 +105,54 @@
     CHECK(refused.get_result() == attempt_result::not_sent);
 }
 
+// Guards against a worker in trouble whose bytes never end: they would fill the
+// memory until the deadline of the request.
+TEST_CASE("an answer without an end is cut at a bound", "[upstream]")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string piece(10'000, 'x');
+    const std::vector<std::pair<std::string, std::string>> endless = {
+        { "", piece },
+        { "HTTP/1.1 200 OK\r\nField: ", piece },
+        { head, "Field: " + std::string(100, 'x') + "\r\n" },
+        { head + "\r\n", piece },
+        { head + "Content-Length: 99999999999\r\n\r\n", piece },
+        { chunked, "2710\r\n" + piece + "\r\n" },
+        { chunked + "1;", piece },
+        { chunked + "0\r\nField: ", piece },
+        { "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n" },
+    };
+    // The longest whole response, and what the sockets hold.
+    constexpr std::size_t max_sent = (16U << 20U) + (8U << 20U);
+    for (const auto& [start, repeated] : endless)
+    {
+        asio::io_context context;
+        std::size_t sent = 0;
+        scripted_worker server(
+            context, [&](tcp::socket& socket, int) -> asio::awaitable<void> {
+                co_await read_header(socket);
+                std::string text = start;
+                for (boost::system::error_code failure; !failure;)
+                {
+                    const auto [ended, size]
+                        = co_await asio::async_write(socket, asio::buffer(text),
+                            asio::as_tuple(asio::use_awaitable));
+                    failure = ended;
+                    sent += size;
+                    text = repeated;
+                }
+            });
+        bool is_reusable = true;
+        const auto result = run_to_end(context,
+            exchange_once(
+                server.get_worker(), make_request("a", false), is_reusable));
+        CHECK(result.get_result() == attempt_result::broken_after_send);
+        CHECK_FALSE(is_reusable);
+        CHECK(sent < max_sent);
+    }
+}
+
 // Guards against sending on a connection that already has an unread answer: it
 // would be read as the answer to the next request.
 TEST_CASE("a response before the request means not sent", "[upstream]")
