Read the entries of the store one by one

It can happen here: an entry nested 200,000 deep ends the daemon by a segmentation fault; a number that fits no double made the whole list or watch unreadable, so that the store counted as lost; an entry with 2^64 slots or a long name was accepted, and then no daemon of the zone could read the message that contained it.

The bounds of an entry are those of the message between daemons. Names are escaped in a query, and a page without names ends a list as failed, since a list that ends early would remove workers.

A port out of range was ignored before, too."

--- a/src/fleet/array_reader.hpp
+++ b/src/fleet/array_reader.hpp
@@ -16,6 +16,7 @@
 
 namespace pollenward::fleet {
 
+/// Also the bound of the texts in upstream::listed_worker.
 inline constexpr std::size_t max_id_size = 256;
 inline constexpr std::size_t max_list_size = 20'000;
 
--- a/src/fleet/store_state_codec.cpp
+++ b/src/fleet/store_state_codec.cpp
@@ -47,14 +47,13 @@
         {
             return std::nullopt;
         }
-        constexpr std::uint64_t max_slots = 100'000;
         auto id = fields.read_id<core::worker_id>();
         auto address = fields.read_endpoint();
         auto zone = fields.read_id<core::zone_id>();
         const bool is_leaving = fields.read_bool();
         auto service = fields.read_id<core::service_id>();
-        const core::slot_count slots(
-            static_cast<std::int64_t>(fields.read_number(max_slots)));
+        const core::slot_count slots(static_cast<std::int64_t>(
+            fields.read_number(upstream::listed_worker::max_slots)));
         const auto warm_up = fields.read_milliseconds();
         const auto started = fields.read_number();
         const auto beat = fields.read_number();
--- a/src/upstream/listed_worker.hpp
+++ b/src/upstream/listed_worker.hpp
@@ -6,6 +6,7 @@
 #include "upstream/worker.hpp"
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <utility>
 
@@ -14,6 +15,10 @@
 /// A worker as it registered itself with the platform.
 class listed_worker {
 public:
+    /// Bounds of an entry, so that any entry can be sent to other daemons.
+    static constexpr std::int64_t max_slots = 100'000;
+    static constexpr std::size_t max_text_size = 256;
+
     /// `started_at_ms` is the Unix time of its start; it distinguishes two runs
     /// of a worker under one id. `sequence` grows with each entry of one run.
     static listed_worker make(worker who, core::service_id service,
--- a/tests/adapter/object_store_test.cpp
+++ b/tests/adapter/object_store_test.cpp
@@ -5,7 +5,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <deque>
+#include <vector>
 
 using namespace pollenward;
 using namespace pollenward::upstream::testing;
@@ -140,6 +142,72 @@
     CHECK(fixture.lines[0] == "GET /objects/servers?Watch=9&WaitMs=100");
 }
 
+// Guards against one odd entry among those of the workers that costs the whole
+// list or ends the daemon.
+TEST_CASE("an odd entry does not cost the other workers", "[adapter]")
+{
+    const auto entry = [](const std::string& name, const std::string& changed,
+                           const std::string& to) {
+        auto text = worker_object(name);
+        text.replace(text.find(changed), changed.size(), to);
+        return text;
+    };
+    const std::string deep(200'000, '[');
+    const std::vector<std::string> odd = {
+        entry("deep", "6", deep + std::string(deep.size(), ']')),
+        entry("large", "\"Slots\":6", "\"Slots\":1e999"),
+        entry("many", "\"Slots\":6", "\"Slots\":18446744073709551615"),
+        entry("long", "\"s\"", "\"" + std::string(300, 's') + "\""),
+        entry("port", ":80", ":70000"),
+        entry("bytes", "v1", "\xff\xfe"),
+        entry("word", "6", "nothing"),
+        worker_object(std::string(300, 'n')),
+        "{}",
+        "7",
+    };
+    for (const std::string& each : odd)
+    {
+        const auto elements = "[" + worker_object("w-1") + "," + each + ","
+            + worker_object("w-2") + "]";
+        store_fixture fixture(
+            { reply("200 OK",
+                  "{\"items\":" + elements
+                      + ",\"HasMore\":false,\"StoreRevision\":7}"),
+                reply("200 OK",
+                    R"({"events":[{"Deleted":false,"Object":)" + each
+                        + R"(},{"Deleted":false,"Object":)"
+                        + worker_object("w-3") + R"(}],"StoreRevision":9})") });
+        const auto listed = run_to_end(
+            fixture.context, fixture.store.list<upstream::listed_worker>());
+        CHECK(listed.get_status() == listing_status::complete);
+        const auto count_valid = [](const auto& all) {
+            return std::count_if(all.begin(), all.end(),
+                [](const auto& object) { return object.get_value(); });
+        };
+        CHECK(count_valid(listed.get_objects()) == 2);
+        const auto changes = run_to_end(fixture.context,
+            fixture.store.watch<upstream::listed_worker>(
+                platform::store_revision(7), core::milliseconds(100)));
+        CHECK(changes.get_status() == listing_status::changes);
+        CHECK(count_valid(changes.get_objects()) == 1);
+    }
+}
+
+// Guards against a page that is requested again and again, or a list that ends
+// early and so removes workers.
+TEST_CASE("a page without names ends a list as failed", "[adapter]")
+{
+    store_fixture fixture({ reply("200 OK",
+                                R"({"items":[)" + worker_object("a&b")
+                                    + R"(],"HasMore":true,"StoreRevision":7})"),
+        reply(
+            "200 OK", R"({"items":[{}],"HasMore":true,"StoreRevision":9})") });
+    const auto listed = run_to_end(
+        fixture.context, fixture.store.list<upstream::listed_worker>());
+    CHECK(listed.get_status() == listing_status::failed);
+    CHECK(fixture.lines[1] == "GET /objects/servers?after=a%26b");
+}
+
 // Guards against a storm of large versions that keeps a slow daemon busy with
 // those that are already replaced.
 TEST_CASE(
