Refuse patches that are nested too deeply

The same cause as with odd entries of the store, found by looking for it elsewhere: a patch nested 200,000 deep ends pollenwardd and pollenwardctl, since its value is written again recursively.

Change: a patch may be 16 deep, as the content of an entry of the store; core/json_slice, which is moved from the platform package, measures it.

Test: "a deeply nested patch is refused" ends in SIGSEGV without the rule.

--- a/src/platform/json_slice.cpp
+++ b/src/core/json_slice.cpp
@@ -1,9 +1,9 @@
-#include "platform/json_slice.hpp"
+#include "core/json_slice.hpp"
 
 #include <algorithm>
 #include <utility>
 
-namespace pollenward::platform {
+namespace pollenward::core {
 
 namespace {
 
@@ -132,4 +132,4 @@
     return deepest;
 }
 
-} // namespace pollenward::platform
+} // namespace pollenward::core
--- a/src/platform/json_slice.hpp
+++ b/src/core/json_slice.hpp
@@ -7,7 +7,7 @@
 #include <string_view>
 #include <vector>
 
-namespace pollenward::platform {
+namespace pollenward::core {
 
 /// Splits JSON text without reading its values, so that one value that cannot
 /// be read does not cost the others. The time is linear and the memory does not
@@ -22,4 +22,4 @@
 /// The most arrays and objects in the text that contain each other.
 std::size_t nesting_depth(std::string_view text);
 
-} // namespace pollenward::platform
+} // namespace pollenward::core
--- a/src/operators/patch_json.cpp
+++ b/src/operators/patch_json.cpp
@@ -1,5 +1,6 @@
 #include "operators/patch_json.hpp"
 
+#include "core/json_slice.hpp"
 #include "operators/configuration_json.hpp"
 
 #include <nlohmann/json.hpp>
@@ -149,13 +150,23 @@
         return document;
     }
 
+    /// Not an object if the text is not JSON or too deep: values are copied and
+    /// written recursively.
+    json parse_shallow(std::string_view text)
+    {
+        constexpr std::size_t max_depth = 16;
+        return core::nesting_depth(text) > max_depth
+            ? json()
+            : json::parse(text, nullptr, false);
+    }
+
 } // namespace
 
 std::optional<patch> decode_patch(core::patch_id id,
     core::version_number base_number, std::string_view text,
     core::error& reason)
 {
-    const json content = json::parse(text, nullptr, false);
+    const json content = parse_shallow(text);
     if (!content.is_object())
     {
         reason = core::error::make(
@@ -168,7 +179,7 @@
 std::optional<patch> decode_patch_message(
     std::string_view text, core::error& reason)
 {
-    const json message = json::parse(text, nullptr, false);
+    const json message = parse_shallow(text);
     const bool is_complete = message.is_object() && message.size() == 3
         && message.contains("id") && message["id"].is_string()
         && message.contains("number") && message["number"].is_number_unsigned()
--- a/tests/platform/json_slice_test.cpp
+++ b/tests/core/json_slice_test.cpp
@@ -1,10 +1,10 @@
-#include "platform/json_slice.hpp"
+#include "core/json_slice.hpp"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
-using namespace pollenward::platform;
+using namespace pollenward::core;
 
 namespace {
 
@@ -43,7 +43,7 @@
 } // namespace
 
 // Guards against a value that is cut at a bracket or comma within a string.
-TEST_CASE("slices are the values of arrays and objects", "[platform][property]")
+TEST_CASE("slices are the values of arrays and objects", "[core][property]")
 {
     CHECK(rc::check("a parsed slice is the value", [] {
         const json list = json::array({ any_value(3), any_value(3) });
@@ -68,7 +68,7 @@
     }));
 }
 
-TEST_CASE("empty and foreign texts", "[platform]")
+TEST_CASE("empty and foreign texts", "[core]")
 {
     CHECK(split_array(" [ ] ")->empty());
     CHECK(split_object("{}")->empty());
--- a/tests/operators/patch_json_test.cpp
+++ b/tests/operators/patch_json_test.cpp
@@ -108,3 +108,18 @@
     CHECK(make_patch(R"({"a": 1})").get_digest()
         != make_patch(R"({"a": 2})").get_digest());
 }
+
+// Guards against a patch that ends the daemon by its depth.
+TEST_CASE("a deeply nested patch is refused", "[operators]")
+{
+    constexpr std::size_t depth = 200'000;
+    const std::string deep = "{\"kinds\":" + std::string(depth, '[')
+        + std::string(depth, ']') + "}";
+    core::error reason;
+    CHECK_FALSE(decode_patch(
+        core::patch_id("p"), core::version_number(3), deep, reason));
+    CHECK_FALSE(decode_patch_message(
+        R"({"id":"p","number":3,"patch":)" + deep + "}", reason));
+    CHECK(decode_patch(core::patch_id("p"), core::version_number(3),
+        R"({"kinds":[{"split":[]}]})", reason));
+}
