Release a peer's socket before its exchange is reported

Cause, from the stacks of the second one: the completion of an exchange refers to the peer's socket until nng's callback has ended. If the transport closes the peer between the result and that end, the callback has the last reference, and nng_close waits on nng's own thread for the callback that calls it. nng_transport::close() then waits for ever for the exchange.

Change: the completion drops its reference before the result is posted.

--- a/src/fleet/nng_transport.cpp
+++ b/src/fleet/nng_transport.cpp
@@ -59,8 +59,12 @@
         const auto initiate = [&](auto handler) {
             start_nng_exchange(peer, request, timeout, tracker,
                 [on_result, done = complete_on_executor(std::move(handler))](
-                    int failure, encoded_message reply) {
+                    int failure, encoded_message reply) mutable {
                     on_result(failure);
+                    // It refers to the peer's socket. When the caller has the
+                    // result, it may close the socket, which blocks for ever on
+                    // nng's own thread.
+                    on_result = nullptr;
                     done(failure, std::move(reply));
                 });
         };
