End a transfer whose sender has no configuration

Change: a part without entries and without an end ends the transfer. Test: "a transfer ends when its sender has no configuration".

--- a/src/main/store_state_synchronizer.cpp
+++ b/src/main/store_state_synchronizer.cpp
@@ -83,23 +83,27 @@
     }
     auto assembly = operators::configuration_assembly::make(
         this->configuration.in_force());
-    std::optional<operators::configuration_part> part;
-    do
+    bool has_progress = true;
+    while (has_progress && !assembly.is_complete())
     {
         fleet::message request(assembly.get_next());
-        part = co_await this->zone.exchange<operators::configuration_part>(
-            sender, std::move(request));
-        if (part)
+        const auto part
+            = co_await this->zone.exchange<operators::configuration_part>(
+                sender, std::move(request));
+        // A sender that was restarted has no configuration yet.
+        has_progress
+            = part && (part->get_general() || !part->get_entries().empty());
+        if (has_progress)
         {
             assembly.add(*part);
         }
-    } while (part && !assembly.is_complete());
-    if (part)
+    }
+    if (assembly.is_complete())
     {
         this->install(assembly, sender);
     }
     this->is_fetching = false;
-    co_return part.has_value();
+    co_return assembly.is_complete();
 }
 
 void store_state_synchronizer::install(
--- a/src/main/store_state_synchronizer.hpp
+++ b/src/main/store_state_synchronizer.hpp
@@ -58,7 +58,7 @@
 private:
     /// Requests the changes that the sender has, one part after the other, so
     /// that a part fits the time limit of an exchange on a slow link. False if
-    /// the sender did not reply or another transfer is running.
+    /// the sender sent no whole version or another transfer is running.
     boost::asio::awaitable<bool> fetch_configuration(fleet::member sender);
     void install(const operators::configuration_assembly& assembly,
         const fleet::member& sender);
--- a/tests/main/store_state_synchronizer_test.cpp
+++ b/tests/main/store_state_synchronizer_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/strand.hpp>
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <memory>
 #include <string>
 #include <thread>
@@ -205,3 +206,20 @@
     zone.other->read_from_store(grown, 20);
     CHECK(slow_zone::gets(*zone.aggregator, grown));
 }
+
+// Guards against a daemon that requests parts again and again from one which
+// was restarted and has no configuration yet.
+TEST_CASE("a transfer ends when its sender has no configuration", "[main]")
+{
+    slow_zone zone;
+    std::atomic<bool> has_ended{ false };
+    const auto accept = [&]() -> asio::awaitable<void> {
+        auto offer = fleet::configuration_offer::make(
+            zone.other->zone.self().get_id(), core::version_number(9));
+        co_await zone.aggregator->synchronizer.accept(std::move(offer));
+        has_ended = true;
+    };
+    asio::co_spawn(asio::make_strand(zone.context), accept, asio::detached);
+    CHECK(test::eventually(
+        [&] { return has_ended.load(); }, std::chrono::seconds(20)));
+}
