Review: three cases on requests that crash workers

Case 3: the guard against them is empty after a restart. Case 4: two crashed workers make the machines refuse a popular lookup. Case 5: a silent crash isn't noticed.

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -48,7 +48,7 @@
             const std::string id = make_id();
             note("client sends " + id + " to " + target.name());
             const auto seen
-                = own.send("POST", "/unsafe/cast", id, "one vote", 8000);
+                = own.send("POST", "/unsafe/cast", id, "vote " + id, 8000);
             note("client has status " + std::to_string(seen.status) + " for "
                 + id + " " + seen.cause);
             {
--- a/review/standins/kit.cpp
+++ b/review/standins/kit.cpp
@@ -275,6 +275,41 @@
     }
 }
 
+void http_service::go_dark()
+{
+    this->dark = true;
+    const std::lock_guard lock(this->mutex);
+    ::listen(this->acceptor->native_handle(), 0);
+    // The kernel drops the opening packets when the queue is full. One filler
+    // may be taken by the accept() that waits already.
+    constexpr int filler_count = 4;
+    for (int i = 0; i < filler_count; ++i)
+    {
+        auto filler = std::make_unique<tcp::socket>(this->context, tcp::v4());
+        boost::system::error_code ignored;
+        filler->native_non_blocking(true, ignored);
+        const tcp::endpoint own(
+            asio::ip::address_v4::loopback(), this->bound_port);
+        // Asio's connect would wait.
+        ::connect(filler->native_handle(), own.data(),
+            static_cast<socklen_t>(own.size()));
+        this->fillers.push_back(std::move(filler));
+        sleep_for(0.01);
+    }
+}
+
+void http_service::end_dark()
+{
+    const std::lock_guard lock(this->mutex);
+    this->fillers.clear();
+    for (const auto& each : this->open)
+    {
+        reset(*each);
+    }
+    ::listen(this->acceptor->native_handle(), 128);
+    this->dark = false;
+}
+
 void http_service::accept_all()
 {
     while (!this->stopped)
@@ -286,6 +321,10 @@
         {
             break;
         }
+        while (this->dark)
+        {
+            sleep_for(0.01);
+        }
         boost::system::error_code ignored;
         socket->set_option(tcp::no_delay(true), ignored);
         const std::lock_guard lock(this->mutex);
@@ -530,11 +569,28 @@
     return this->seen;
 }
 
-void worker::crash_on(std::function<bool(const request&)> poison, double down_s)
+void worker::crash_on(
+    std::function<bool(const request&)> poison, double down_s, bool is_dark)
 {
     const std::lock_guard lock(this->mutex);
     this->poison = std::move(poison);
     this->down_s = down_s;
+    this->crashes_dark = is_dark;
+}
+
+void worker::crash_now(double down_s)
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->down_s = down_s;
+    }
+    this->crash();
+}
+
+bool worker::is_running(const std::string& target) const
+{
+    const std::lock_guard lock(this->mutex);
+    return this->running_targets.count(target) != 0;
 }
 
 void worker::end()
@@ -551,10 +607,20 @@
     }
     note("worker " + this->name + " crashes");
     std::thread([this] {
-        this->service.stop();
-        sleep_for(this->down_s);
-        this->is_down = false;
-        this->service.restart();
+        if (this->crashes_dark)
+        {
+            this->service.go_dark();
+            sleep_for(this->down_s);
+            this->is_down = false;
+            this->service.end_dark();
+        }
+        else
+        {
+            this->service.stop();
+            sleep_for(this->down_s);
+            this->is_down = false;
+            this->service.restart();
+        }
         note("worker " + this->name + " is back");
     }).detach();
 }
@@ -588,6 +654,15 @@
         other.prepare_payload();
         return other;
     }
+    while (this->service.is_dark())
+    {
+        // The crash took the request with it; no answer is sent.
+        sleep_for(0.01);
+        if (!this->service.is_dark())
+        {
+            return std::nullopt;
+        }
+    }
     std::unique_lock lock(this->mutex);
     if (this->running >= slots && this->waiting >= queue)
     {
@@ -600,6 +675,8 @@
     this->slot_free.wait(lock, [this] { return this->running < slots; });
     --this->waiting;
     ++this->running;
+    const auto running_target
+        = this->running_targets.insert(std::string(received.target()));
     const std::string id(received["Request-Id"]);
     this->seen.push_back(
         { now(), this->name, id, received.body().substr(0, 64) });
@@ -617,8 +694,14 @@
         sleep_for(0.005);
         is_dropped = this->is_down || has_peer_closed(peer);
     }
+    while (this->service.is_dark())
+    {
+        sleep_for(0.01);
+        is_dropped = true;
+    }
     lock.lock();
     --this->running;
+    this->running_targets.erase(running_target);
     this->slot_free.notify_one();
     if (is_dropped || is_poison)
     {
--- a/review/standins/kit.hpp
+++ b/review/standins/kit.hpp
@@ -70,6 +70,13 @@
     /// Listens again on the same port.
     void restart();
 
+    /// Goes silent, as after a loss of power: the listener completes no new
+    /// connection, and nothing is read or answered on the open ones.
+    void go_dark();
+    /// Ends the silence; resets the connections from before.
+    void end_dark();
+    bool is_dark() const { return this->dark; }
+
 private:
     void accept_all();
     void serve(std::shared_ptr<tcp::socket> socket);
@@ -82,6 +89,9 @@
     std::set<std::shared_ptr<tcp::socket>> open;
     std::vector<std::thread> threads;
     std::atomic<bool> stopped{ false };
+    std::atomic<bool> dark{ false };
+    /// Fill the listener's queue while it is dark.
+    std::vector<std::unique_ptr<tcp::socket>> fillers;
 };
 
 /// The platform's metadata store.
@@ -145,8 +155,13 @@
     json entry(const std::string& zone) const;
     std::vector<run> runs() const;
     /// Calls `poison` for each request before it runs; if it returns true, the
-    /// worker crashes and is back after `down_s`.
-    void crash_on(std::function<bool(const request&)> poison, double down_s);
+    /// worker crashes and is back after `down_s`. A dark crash is silent.
+    void crash_on(std::function<bool(const request&)> poison, double down_s,
+        bool is_dark = false);
+    /// Crashes now; back after `down_s`.
+    void crash_now(double down_s);
+    /// Whether a request with this target is running.
+    bool is_running(const std::string& target) const;
     /// Ends the worker's process: all its connections are reset.
     void end();
 
@@ -165,9 +180,11 @@
     std::condition_variable slot_free;
     int running = 0;
     int waiting = 0;
+    std::multiset<std::string> running_targets;
     std::vector<run> seen;
     std::function<bool(const request&)> poison;
     double down_s = 0;
+    bool crashes_dark = false;
     std::atomic<bool> is_down{ false };
     http_service service;
 };
