--- a/review/standins/kit.cpp
+++ b/review/standins/kit.cpp
@@ -601,26 +601,34 @@
 
 void worker::crash()
 {
-    if (this->is_down.exchange(true))
+    if (this->is_crashing.exchange(true))
     {
         return;
     }
     note("worker " + this->name + " crashes");
+    // The listener goes first: a peer that sees its connection break must not
+    // find the worker reachable.
+    if (this->crashes_dark)
+    {
+        this->service.go_dark();
+    }
+    else
+    {
+        this->service.stop();
+    }
+    this->is_down = true;
     std::thread([this] {
+        sleep_for(this->down_s);
+        this->is_down = false;
         if (this->crashes_dark)
         {
-            this->service.go_dark();
-            sleep_for(this->down_s);
-            this->is_down = false;
             this->service.end_dark();
         }
         else
         {
-            this->service.stop();
-            sleep_for(this->down_s);
-            this->is_down = false;
             this->service.restart();
         }
+        this->is_crashing = false;
         note("worker " + this->name + " is back");
     }).detach();
 }
--- a/review/standins/kit.hpp
+++ b/review/standins/kit.hpp
@@ -185,6 +185,7 @@
     std::function<bool(const request&)> poison;
     double down_s = 0;
     bool crashes_dark = false;
+    std::atomic<bool> is_crashing{ false };
     std::atomic<bool> is_down{ false };
     http_service service;
 };
