Ignore answers of the store that are older than the copy

Cause: worker_replica applied a listing of the store without comparing its revision with that of the copy. A list that arrived 0.3 s late put a worker back that a daemon of the zone had reported as removed, and the watch went on from the newer revision, so that the removal was not seen again.

Change: an older listing or changes reply is ignored, logged, and does not count as a confirmation of the copy. Revisions order both sources, so the order of arrival no longer matters.

--- a/src/main/entry_replicas.cpp
+++ b/src/main/entry_replicas.cpp
@@ -2,21 +2,25 @@
 
 #include "operators/event.hpp"
 
+#include <algorithm>
 #include <set>
 
 namespace pollenward::main {
 
 namespace {
 
-    operators::event describe(
-        const char* name, const upstream::listed_worker& entry)
+    operators::event describe(const char* name,
+        const upstream::listed_worker& entry, core::store_revision revision,
+        const char* source)
     {
         const upstream::worker& worker = entry.get_worker();
         return operators::event::make(name)
             .with("worker", worker.get_id())
             .with("service", entry.get_service())
             .with("address", worker.get_address().str())
-            .with("leaving", worker.is_leaving());
+            .with("leaving", worker.is_leaving())
+            .with("revision", revision.get())
+            .with("source", source);
     }
 
     void write_lost(const char* kind, const core::error& cause)
@@ -143,8 +147,9 @@
                           .after_peer_report(received.get_configuration(), now);
 }
 
-void worker_replica::put(
-    const std::string& name, const upstream::listed_worker& entry)
+void worker_replica::put(const std::string& name,
+    const upstream::listed_worker& entry, core::store_revision revision,
+    const char* source)
 {
     const upstream::listed_worker* before = this->listed.find(name);
     const bool has_changed = before == nullptr
@@ -152,13 +157,14 @@
         || before->get_service() != entry.get_service();
     if (has_changed)
     {
-        operators::write(describe("worker.listed", entry));
+        operators::write(describe("worker.listed", entry, revision, source));
     }
     this->listed.put(name, entry);
 }
 
 void worker_replica::apply(const std::vector<fleet::worker_change>& changes,
-    bool is_complete, core::store_revision revision, core::time_point now)
+    bool is_complete, core::store_revision revision, core::time_point now,
+    const char* source)
 {
     std::set<std::string> present;
     std::set<std::string> removed;
@@ -169,7 +175,7 @@
         {
             present.insert(name);
             removed.erase(name);
-            this->put(name, *each.get_entry());
+            this->put(name, *each.get_entry(), revision, source);
         }
         else
         {
@@ -178,16 +184,24 @@
         }
         this->history.on_change(name, revision, !each.get_entry());
     }
-    for (const std::string& name : removed)
-    {
+    const auto write_removed = [&](const std::string& name) {
         if (const auto* entry = this->listed.find(name))
         {
-            operators::write(describe("worker.removed", *entry));
+            operators::write(
+                describe("worker.removed", *entry, revision, source));
         }
-    }
+    };
+    std::for_each(removed.begin(), removed.end(), write_removed);
     this->listed.remove({ removed.begin(), removed.end() }, now);
     if (is_complete)
     {
+        for (const std::string& name : this->listed.names())
+        {
+            if (present.count(name) == 0)
+            {
+                write_removed(name);
+            }
+        }
         this->listed.keep_only(present, now);
         this->history.restart({ present.begin(), present.end() }, revision);
     }
@@ -207,9 +221,18 @@
     const std::lock_guard lock(this->mutex);
     const auto now = core::runtime_clock::now();
     const auto revision = received.get_revision();
+    if (revision < this->freshness.get_revision())
+    {
+        operators::write(
+            operators::event::make("store.reply_outdated")
+                .with("kind", "workers")
+                .with("revision", revision.get())
+                .with("own_revision", this->freshness.get_revision().get()));
+        return;
+    }
     this->apply(changes,
         received.get_status() == platform::listing_status::complete, revision,
-        now);
+        now, "store");
     this->freshness = this->freshness.after_store_reply(revision, now);
 }
 
@@ -323,8 +346,8 @@
     {
         if (!changes->get_changes().empty() || !changes->get_start())
         {
-            this->apply(
-                changes->get_changes(), !changes->get_start(), revision, now);
+            this->apply(changes->get_changes(), !changes->get_start(), revision,
+                now, "daemon");
         }
         this->freshness = this->freshness.with_revision_at_least(revision);
     }
--- a/src/main/entry_replicas.hpp
+++ b/src/main/entry_replicas.hpp
@@ -86,7 +86,8 @@
     {
     }
 
-    /// For platform::listing_watch.
+    /// For platform::listing_watch. A listing that is older than the state
+    /// which another daemon sent meanwhile is ignored.
     void on_listing(const platform::listing<upstream::listed_worker>& received);
     void on_unchanged(core::store_revision revision);
     void on_store_lost(const core::error& cause);
@@ -114,9 +115,12 @@
     void merge(const fleet::store_state& received, core::time_point now);
 
 private:
+    /// `source` is "store" or "daemon", for the log.
     void apply(const std::vector<fleet::worker_change>& changes,
-        bool is_complete, core::store_revision revision, core::time_point now);
-    void put(const std::string& name, const upstream::listed_worker& entry);
+        bool is_complete, core::store_revision revision, core::time_point now,
+        const char* source);
+    void put(const std::string& name, const upstream::listed_worker& entry,
+        core::store_revision revision, const char* source);
     std::vector<fleet::worker_change> describe_all(
         const std::vector<std::string>& names) const;
 
--- a/src/main/store_freshness.hpp
+++ b/src/main/store_freshness.hpp
@@ -17,11 +17,17 @@
     /// time reaches the whole zone within half a second.
     static constexpr core::milliseconds max_peer_age{ 1800 };
 
+    /// Ignored if the reply is older than this copy: it does not show how old
+    /// the copy is.
     store_freshness after_store_reply(
         core::store_revision at, core::time_point now) const
     {
+        if (at < this->revision)
+        {
+            return *this;
+        }
         store_freshness next = *this;
-        next.revision = std::max(this->revision, at);
+        next.revision = at;
         next.last_own_reply = std::max(this->last_own_reply, now);
         return next;
     }
--- a/tests/main/entry_replicas_test.cpp
+++ b/tests/main/entry_replicas_test.cpp
@@ -142,6 +142,55 @@
     CHECK(ahead.workers.known_revision() == store_revision(20));
 }
 
+// Guards against a removed worker that is used again: the store's answer was
+// delayed while another daemon reported a later state.
+TEST_CASE("a late answer of the store brings no removed worker back", "[main]")
+{
+    const paused_clock clock;
+    listing_daemon reader;
+    listing_daemon late;
+    reader.workers.on_listing(
+        listed(listing_status::complete, 12, { "a", "new" }, {}));
+    late.receive_from(reader);
+    REQUIRE(late.count() == 2);
+    SECTION("a complete list")
+    {
+        late.workers.on_listing(
+            listed(listing_status::complete, 10, { "a", "left" }));
+    }
+    SECTION("changes")
+    {
+        late.workers.on_listing(
+            listed(listing_status::changes, 11, { "left" }, { "new" }));
+    }
+    CHECK(late.count() == 2);
+    CHECK(late.placement.find(service)->back().get_worker().get_id()
+        == core::worker_id("new"));
+    CHECK(late.workers.known_revision() == store_revision(12));
+    // The peers must not rely on this daemon for revision 12.
+    CHECK(late.workers.own_position(core::runtime_clock::now()).get_revision()
+        == store_revision(12));
+    CHECK(late.workers.own_position(core::runtime_clock::now()).get_age()
+        == fleet::store_position::age_if_never_read);
+}
+
+// Guards against changes that are left out because another daemon reported a
+// part of them first.
+TEST_CASE("changes that overlap with another daemon's are applied", "[main]")
+{
+    const paused_clock clock;
+    listing_daemon reader;
+    listing_daemon other;
+    reader.workers.on_listing(listed(listing_status::complete, 10, { "a" }));
+    other.receive_from(reader);
+    reader.workers.on_listing(listed(listing_status::changes, 12, { "b" }));
+    other.receive_from(reader);
+    other.workers.on_listing(
+        listed(listing_status::changes, 14, { "b", "c" }, { "a" }));
+    CHECK(other.count() == 2);
+    CHECK(other.workers.known_revision() == store_revision(14));
+}
+
 // Guards against entries that expired in a store outage and are sent to others,
 // as removed or as present, before their workers had time to register again.
 TEST_CASE("a daemon sends no changes while it keeps expired entries", "[main]")
