Serve a request again that was refused because of crashes with other causes

Cause: two crashed workers with equal requests blocked the request in the whole fleet, whether the crashes had one cause or not. A success refuted this only at the daemon that had sent it, and daemons that refuse a request see no success.

Change: runs that overlap count as one crash; a run that a worker ends refutes the crashes before it at all daemons; one copy of a blocked request is sent as a trial after 5 s, 40 s, 320 s and so on; a record does not expire while its request is refused. Daemons exchange whole records, which are merged by run, so that late notices do not undo a refutation.

--- a/src/caller/request_pipeline.hpp
+++ b/src/caller/request_pipeline.hpp
@@ -40,11 +40,11 @@
           type.settle(request, state);
       };
 
-/// Detects requests that crash the workers that run them.
+/// Refuses requests that crash the workers that run them.
 template <class Type>
 concept guard = requires(Type& type, const caller_request& request) {
     {
-        type.is_blocked(request)
+        type.admits(request)
     } -> std::same_as<bool>;
 };
 
@@ -119,7 +119,7 @@
         {
             co_return make_answer(admitted.get_refusal());
         }
-        if (this->crash_guard.is_blocked(request))
+        if (!this->crash_guard.admits(request))
         {
             co_return blocked_answer(request);
         }
--- a/src/fleet/claim_codec.cpp
+++ b/src/fleet/claim_codec.cpp
@@ -135,19 +135,4 @@
         is_ready, roster, std::move(entries), std::move(cursor));
 }
 
-json encode_fields(const crash_notice& content)
-{
-    return json::array({ content.get_fingerprint(), content.get_request().str(),
-        content.get_worker().str() });
-}
-
-crash_notice decode_fields(array_reader& fields, type_of_message<crash_notice>)
-{
-    const auto fingerprint = fields.read_number();
-    auto request = fields.read_id<core::request_id>();
-    auto worker = fields.read_id<core::worker_id>();
-    return crash_notice::make(
-        fingerprint, std::move(request), std::move(worker));
-}
-
 } // namespace pollenward::fleet
--- a/src/main/entry_daemon.hpp
+++ b/src/main/entry_daemon.hpp
@@ -203,7 +203,7 @@
             const in_use_counter counter(
                 this->owner.limits, request.get_service());
             auto result = co_await this->owner.dispatcher.dispatch(request);
-            if (result.get_response())
+            if (result.is_success())
             {
                 this->owner.guard.on_success(request);
             }
@@ -276,8 +276,7 @@
             co_return fleet::message(
                 fleet::receipt::failed("not a request of this daemon"));
         }
-        this->guard.on_notice(*notice);
-        co_return fleet::message(fleet::receipt::accepted());
+        co_return fleet::message(this->guard.on_notice(*notice));
     }
 
     /// Registers this daemon in the store and polls the list of daemons.
--- a/src/main/guarded_dispatcher.hpp
+++ b/src/main/guarded_dispatcher.hpp
@@ -13,7 +13,7 @@
 using worker_dispatcher = upstream::dispatcher<worker_standings,
     worker_standings, replicated_guard>;
 
-/// Dispatches requests and reports those with an answer to the guard.
+/// Dispatches requests and reports those that a worker ran to the guard.
 class guarded_dispatcher {
 public:
     guarded_dispatcher(worker_dispatcher& dispatcher, replicated_guard& guard)
@@ -26,7 +26,7 @@
         const upstream::forward_request& request)
     {
         auto result = co_await this->dispatcher.dispatch(request);
-        if (result.get_response())
+        if (result.is_success())
         {
             this->guard.on_success(request);
         }
--- a/src/main/message_router.cpp
+++ b/src/main/message_router.cpp
@@ -70,8 +70,7 @@
 
 fleet::message message_router::answer(const fleet::crash_notice& notice)
 {
-    this->guard.on_notice(notice);
-    return fleet::receipt::accepted();
+    return this->guard.on_notice(notice);
 }
 
 fleet::message message_router::answer(const fleet::verdict_notice& notice)
--- a/src/main/replicated_guard.hpp
+++ b/src/main/replicated_guard.hpp
@@ -6,14 +6,17 @@
 #include "fleet/aggregator_selection.hpp"
 #include "fleet/crash_notice.hpp"
 #include "fleet/message.hpp"
+#include "main/crash_histories.hpp"
 #include "main/fleet_network.hpp"
 #include "operators/event.hpp"
 #include "upstream/forward_request.hpp"
 #include "upstream/request_fingerprint.hpp"
 #include "upstream/request_guard.hpp"
 
+#include <algorithm>
 #include <concepts>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace pollenward::main {
@@ -31,60 +34,134 @@
     type.send(peer, content);
 };
 
-/// The request guard of this daemon, replicated by gossip: the first notice of
-/// each crash is forwarded to a few daemons, which do the same.
+/// Intervals of a replicated guard.
+struct guard_sync_times {
+    /// Time between the trials that two daemons may start, more than a notice
+    /// needs to reach the whole fleet.
+    core::milliseconds trial_step{ 250 };
+    /// All daemons may start a trial after this time.
+    core::milliseconds max_trial_spread{ 10'000 };
+};
+
+/// The request guard of this daemon, replicated by gossip: each change of a
+/// record is forwarded to a few daemons, which do the same.
 template <daemon_network Network>
 class basic_replicated_guard {
 public:
-    explicit basic_replicated_guard(Network& network)
+    explicit basic_replicated_guard(
+        Network& network, guard_sync_times times = {})
         : network(network)
+        , times(times)
     {
     }
 
-    /// For caller::request_pipeline.
-    bool is_blocked(const caller::caller_request& request) const
+    /// For caller::request_pipeline. Starts a trial if one is due.
+    bool admits(const caller::caller_request& request)
     {
+        if (this->guard.size() == 0)
+        {
+            return true;
+        }
+        const auto now = core::runtime_clock::now();
         const auto fingerprint = upstream::fingerprint_of(
             request.get_kind().get_id(), request.get_message());
-        return this->guard.is_blocked(fingerprint, core::runtime_clock::now());
+        const auto delay = this->guard.is_blocked(fingerprint, now)
+            ? this->trial_delay(fingerprint)
+            : core::milliseconds::zero();
+        const auto decision
+            = this->guard.check(fingerprint, request.get_id(), delay, now);
+        if (decision == upstream::guard_decision::trial)
+        {
+            operators::write(operators::event::make("guard.trial")
+                                 .with("request", request.get_id())
+                                 .with("fingerprint", fingerprint));
+            this->send_record(fingerprint);
+        }
+        return decision != upstream::guard_decision::refuse;
     }
 
-    /// For the dispatcher.
-    void on_crash(
-        const upstream::forward_request& request, const core::worker_id& worker)
+    /// For the dispatcher. `started_at` and `ended_at` are those of the run.
+    void on_crash(const upstream::forward_request& request,
+        const core::worker_id& worker, core::time_point started_at,
+        core::time_point ended_at)
     {
-        this->on_notice(fleet::crash_notice::make(
-            fingerprint_of(request), request.get_id(), worker));
+        const auto fingerprint = fingerprint_of(request);
+        const bool was_blocked
+            = this->guard.is_blocked(fingerprint, core::runtime_clock::now());
+        const auto record = this->guard.on_crash(fingerprint,
+            upstream::crash_event::make(
+                request.get_id(), worker, started_at, ended_at));
+        if (record)
+        {
+            operators::write(operators::event::make("guard.crash")
+                                 .with("request", request.get_id())
+                                 .with("fingerprint", fingerprint)
+                                 .with("worker", worker)
+                                 .with("ran_ms", ended_at - started_at));
+            this->write_change(fingerprint, was_blocked);
+            this->send_record(fingerprint);
+        }
     }
 
-    /// A worker answered the request, so the request did not cause the crashes.
+    /// A worker ran the request to its end, so the request did not cause the
+    /// crashes.
     void on_success(const upstream::forward_request& request)
     {
-        if (this->guard.size() != 0)
+        if (this->guard.size() == 0)
         {
-            this->guard.on_success(fingerprint_of(request));
+            return;
+        }
+        const auto fingerprint = fingerprint_of(request);
+        const bool was_blocked
+            = this->guard.is_blocked(fingerprint, core::runtime_clock::now());
+        if (this->guard.on_success(fingerprint))
+        {
+            this->write_change(fingerprint, was_blocked);
+            this->send_record(fingerprint);
         }
     }
 
-    /// Records a notice of a crash and forwards it if it is new.
-    void on_notice(const fleet::crash_notice& notice)
+    /// Merges the records of another daemon and returns what it lacks.
+    fleet::crash_notice on_notice(const fleet::crash_notice& notice)
     {
         const auto now = core::runtime_clock::now();
-        const auto fingerprint = notice.get_fingerprint();
-        const bool was_blocked = this->guard.is_blocked(fingerprint, now);
-        if (!this->guard.on_crash(fingerprint, notice.get_worker(), now))
+        std::vector<upstream::named_crash_record> lacking;
+        std::vector<std::uint64_t> named;
+        for (const fleet::crash_history& each : notice.get_histories())
         {
-            return;
+            const auto received = to_record(each, now);
+            const auto fingerprint = received.first;
+            if (received.second.is_expired(now))
+            {
+                continue;
+            }
+            const bool was_blocked = this->guard.is_blocked(fingerprint, now);
+            const auto before = this->guard.find(fingerprint);
+            const auto own = this->guard.merge(fingerprint, received.second);
+            this->write_change(fingerprint, was_blocked);
+            if (before != own)
+            {
+                this->send_record(fingerprint);
+            }
+            named.push_back(fingerprint);
+            if (received.second.lacks(own))
+            {
+                lacking.emplace_back(fingerprint, own);
+            }
         }
-        if (!was_blocked && this->guard.is_blocked(fingerprint, now))
+        for (auto& each : this->guard.blocking_records(
+                 fleet::crash_notice::max_histories, now))
         {
-            operators::write(
-                operators::event::make("guard.blocked")
-                    .with("request", notice.get_request())
-                    .with("fingerprint", fingerprint)
-                    .with("workers", upstream::max_crashed_workers));
+            const bool is_named
+                = std::find(named.begin(), named.end(), each.first)
+                != named.end();
+            if (!is_named
+                && lacking.size() < fleet::crash_notice::max_histories)
+            {
+                lacking.push_back(std::move(each));
+            }
         }
-        this->forward_notice(notice);
+        return make_notice(lacking, now);
     }
 
     upstream::request_guard& get_guard() { return this->guard; }
@@ -101,28 +178,90 @@
             request.get_kind(), request.get_message());
     }
 
-    void forward_notice(const fleet::crash_notice& notice)
+    static fleet::crash_notice make_notice(
+        const std::vector<upstream::named_crash_record>& records,
+        core::time_point now)
     {
-        std::vector<core::daemon_id> others;
+        std::vector<fleet::crash_history> histories;
+        histories.reserve(records.size());
+        for (const auto& each : records)
+        {
+            histories.push_back(to_history(each, now));
+        }
+        return fleet::crash_notice::make(std::move(histories));
+    }
+
+    std::vector<core::daemon_id> others() const
+    {
+        std::vector<core::daemon_id> found;
         const core::daemon_id self = this->network.self().get_id();
         for (const fleet::zone_daemon& each : this->network.live_daemons())
         {
             if (each.get_daemon() != self)
             {
-                others.push_back(each.get_daemon());
+                found.push_back(each.get_daemon());
             }
         }
+        return found;
+    }
+
+    /// The daemons may start a trial one after the other, in an order that
+    /// depends on the request.
+    core::duration trial_delay(std::uint64_t fingerprint) const
+    {
+        const std::string key = std::to_string(fingerprint);
+        const auto own_score = core::rendezvous_score(
+            key, core::daemon_id(this->network.self().get_id()).str());
+        const auto peers = this->others();
+        const auto before = std::count_if(
+            peers.begin(), peers.end(), [&](const core::daemon_id& each) {
+                return core::rendezvous_score(key, each.str()) > own_score;
+            });
+        const auto all = static_cast<std::int64_t>(peers.size()) + 1;
+        const core::duration step = std::min<core::duration>(
+            this->times.trial_step, this->times.max_trial_spread / all);
+        return step * before;
+    }
+
+    /// Logs that the request is refused from now on, or no longer.
+    void write_change(std::uint64_t fingerprint, bool was_blocked) const
+    {
+        const auto now = core::runtime_clock::now();
+        const bool is_blocked = this->guard.is_blocked(fingerprint, now);
+        const auto record = this->guard.find(fingerprint);
+        if (is_blocked == was_blocked || !record)
+        {
+            return;
+        }
+        const auto& last = record->get_events().back();
+        operators::write(operators::event::make(
+            is_blocked ? "guard.blocked" : "guard.unblocked")
+                             .with("request", last.get_request())
+                             .with("fingerprint", fingerprint)
+                             .with("workers", record->get_events().size()));
+    }
+
+    void send_record(std::uint64_t fingerprint)
+    {
+        const auto record = this->guard.find(fingerprint);
+        if (!record)
+        {
+            return;
+        }
+        const auto notice = make_notice(
+            { { fingerprint, *record } }, core::runtime_clock::now());
         // Each daemon selects different peers, so that a notice reaches all.
         const std::string key
-            = self.str() + std::to_string(notice.get_fingerprint());
-        for (const auto& peer :
-            core::rendezvous_top(key, others, notice_fanout))
+            = this->network.self().get_id().str() + std::to_string(fingerprint);
+        for (const core::daemon_id& peer :
+            core::rendezvous_top(key, this->others(), notice_fanout))
         {
             this->network.send(peer, notice);
         }
     }
 
     Network& network;
+    guard_sync_times times;
     upstream::request_guard guard;
 };
 
--- a/src/upstream/dispatch_result.hpp
+++ b/src/upstream/dispatch_result.hpp
@@ -65,6 +65,14 @@
         return this->response;
     }
 
+    /// Whether a worker ran the request without a failure of its own.
+    bool is_success() const
+    {
+        constexpr unsigned first_server_error = 500;
+        return this->response
+            && this->response->get_status() < first_server_error;
+    }
+
     auto operator<=>(const dispatch_result&) const = default;
 
 private:
--- a/src/upstream/dispatcher.hpp
+++ b/src/upstream/dispatcher.hpp
@@ -36,12 +36,14 @@
     sink.record(service, worker_id, result, latency, now);
 };
 
-/// Receives the requests that may have crashed a worker.
+/// Receives the requests that may have crashed a worker, with the start and the
+/// end of the run.
 template <class Type>
-concept crash_observer = requires(Type& observer,
-    const forward_request& request, const core::worker_id& worker_id) {
-    observer.on_crash(request, worker_id);
-};
+concept crash_observer
+    = requires(Type& observer, const forward_request& request,
+        const core::worker_id& worker_id, core::time_point time) {
+          observer.on_crash(request, worker_id, time, time);
+      };
 
 /// A random number, uniform over all values, from a generator of the calling
 /// thread.
@@ -159,7 +161,7 @@
         }
         if (outcome.is_crash())
         {
-            this->crashes.on_crash(request, worker_id);
+            this->crashes.on_crash(request, worker_id, started, now);
         }
         co_return outcome;
     }
--- a/src/upstream/listed_worker_source.hpp
+++ b/src/upstream/listed_worker_source.hpp
@@ -40,8 +40,9 @@
     {
     }
 
-    void on_crash(
-        const forward_request& /*request*/, const core::worker_id& /*who*/)
+    void on_crash(const forward_request& /*request*/,
+        const core::worker_id& /*who*/, core::time_point /*started_at*/,
+        core::time_point /*ended_at*/)
     {
     }
 };
--- a/src/upstream/placing_dispatcher.hpp
+++ b/src/upstream/placing_dispatcher.hpp
@@ -379,7 +379,8 @@
         if (result == attempt_result::broken_after_send)
         {
             boost::asio::co_spawn(in_flight.wake_timer.get_executor(),
-                this->check_crash(in_flight.request, ended.target.get_worker()),
+                this->check_crash(in_flight.request, ended.target.get_worker(),
+                    ended.started_at, now),
                 boost::asio::detached);
         }
         operators::write(operators::event::make("request.send_ended")
@@ -393,8 +394,8 @@
 
     /// Reports a crash only if the worker accepts no new connection, since a
     /// connection can break for other reasons.
-    boost::asio::awaitable<void> check_crash(
-        forward_request request, worker suspect)
+    boost::asio::awaitable<void> check_crash(forward_request request,
+        worker suspect, core::time_point started_at, core::time_point ended_at)
     {
         worker_connection trial(
             co_await boost::asio::this_coro::executor, suspect.get_address());
@@ -403,7 +404,8 @@
             core::runtime_clock::now() + this->limits.connect_timeout, reason);
         if (!is_reachable)
         {
-            this->crashes.on_crash(request, suspect.get_id());
+            this->crashes.on_crash(
+                request, suspect.get_id(), started_at, ended_at);
         }
     }
 
--- a/src/upstream/request_guard.cpp
+++ b/src/upstream/request_guard.cpp
@@ -1,56 +1,102 @@
 #include "upstream/request_guard.hpp"
 
-#include <algorithm>
-#include <optional>
-
 namespace pollenward::upstream {
 
-bool request_guard::on_crash(std::uint64_t fingerprint,
-    const core::worker_id& worker, core::time_point now)
+std::optional<crash_record> request_guard::on_crash(
+    std::uint64_t fingerprint, const crash_event& crash)
 {
     bool is_new = false;
-    this->records.update(
+    const auto next = this->records.update(
         fingerprint, [&](const std::optional<crash_record>& present) {
-            const bool is_known = present && !present->is_expired(now);
-            auto workers = is_known ? present->get_workers()
-                                    : std::vector<core::worker_id>();
-            is_new = std::find(workers.begin(), workers.end(), worker)
-                == workers.end();
-            if (is_new)
-            {
-                workers.push_back(worker);
-            }
-            if (!present)
-            {
-                ++this->record_count;
-            }
-            return std::optional(crash_record::make(std::move(workers),
-                is_new || !is_known ? now : present->get_last_at()));
+            const auto before = present.value_or(crash_record());
+            auto changed = before.with_crash(crash);
+            is_new = changed != before;
+            this->record_count += present ? 0 : 1;
+            return std::optional(std::move(changed));
         });
-    return is_new;
+    return is_new ? next : std::nullopt;
 }
 
-void request_guard::on_success(std::uint64_t fingerprint)
+std::optional<crash_record> request_guard::on_success(std::uint64_t fingerprint)
 {
-    if (this->record_count.load() == 0)
+    if (this->size() == 0)
     {
-        return;
+        return std::nullopt;
     }
-    if (this->records.erase(fingerprint))
+    bool has_changed = false;
+    const auto next = this->records.update(
+        fingerprint, [&](const std::optional<crash_record>& present) {
+            has_changed = present && present->is_suspicious();
+            return has_changed ? std::optional(present->refuted()) : present;
+        });
+    return has_changed ? next : std::nullopt;
+}
+
+crash_record request_guard::merge(
+    std::uint64_t fingerprint, const crash_record& received)
+{
+    return *this->records.update(
+        fingerprint, [&](const std::optional<crash_record>& present) {
+            this->record_count += present ? 0 : 1;
+            return std::optional(
+                present ? present->merged(received) : received);
+        });
+}
+
+guard_decision request_guard::check(std::uint64_t fingerprint,
+    const core::request_id& request, core::duration trial_delay,
+    core::time_point now)
+{
+    if (!this->is_blocked(fingerprint, now))
     {
-        --this->record_count;
+        return guard_decision::pass;
     }
+    auto decision = guard_decision::pass;
+    this->records.update(
+        fingerprint, [&](const std::optional<crash_record>& present) {
+            if (!present || !present->is_blocking())
+            {
+                return present;
+            }
+            const auto mark = request_mark::make(request, now);
+            const bool is_due = now >= present->next_trial_at() + trial_delay;
+            decision = is_due ? guard_decision::trial : guard_decision::refuse;
+            return std::optional(is_due ? present->with_trial(mark)
+                                        : present->with_refusal(mark));
+        });
+    return decision;
 }
 
 bool request_guard::is_blocked(
     std::uint64_t fingerprint, core::time_point now) const
 {
-    if (this->record_count.load() == 0)
+    const auto record = this->find(fingerprint);
+    return record && !record->is_expired(now) && record->is_blocking();
+}
+
+std::optional<crash_record> request_guard::find(std::uint64_t fingerprint) const
+{
+    return this->size() == 0 ? std::nullopt : this->records.find(fingerprint);
+}
+
+std::vector<named_crash_record> request_guard::blocking_records(
+    std::size_t count, core::time_point now) const
+{
+    std::vector<named_crash_record> found;
+    if (this->size() == 0)
+    {
+        return found;
+    }
+    for (auto& each : this->records.entries())
     {
-        return false;
+        const crash_record& record = each.second;
+        if (found.size() < count && !record.is_expired(now)
+            && record.is_blocking())
+        {
+            found.push_back(std::move(each));
+        }
     }
-    const auto record = this->records.find(fingerprint);
-    return record && record->is_blocking(now);
+    return found;
 }
 
 std::size_t request_guard::expire(core::time_point now)
--- a/src/upstream/request_guard.hpp
+++ b/src/upstream/request_guard.hpp
@@ -3,78 +3,65 @@
 #include "core/ids.hpp"
 #include "core/runtime_clock.hpp"
 #include "core/sharded_map.hpp"
+#include "upstream/crash_record.hpp"
 
 #include <atomic>
-#include <compare>
+#include <cstddef>
 #include <cstdint>
+#include <optional>
+#include <utility>
 #include <vector>
 
 namespace pollenward::upstream {
 
-/// Workers that one request may crash before the fleet refuses it.
-inline constexpr std::size_t max_crashed_workers = 2;
-/// How long a request is blocked and a crash record is kept.
-inline constexpr core::seconds crash_record_ttl{ 300 };
-
-/// Workers whose connections broke while they ran one request.
-class crash_record {
-public:
-    static crash_record make(
-        std::vector<core::worker_id> workers, core::time_point last_at)
-    {
-        crash_record made;
-        made.workers = std::move(workers);
-        made.last_at = last_at;
-        return made;
-    }
-
-    const std::vector<core::worker_id>& get_workers() const
-    {
-        return this->workers;
-    }
-
-    core::time_point get_last_at() const { return this->last_at; }
-
-    bool is_expired(core::time_point now) const
-    {
-        return now - this->last_at >= crash_record_ttl;
-    }
-
-    bool is_blocking(core::time_point now) const
-    {
-        return !this->is_expired(now)
-            && this->workers.size() >= max_crashed_workers;
-    }
-
-    auto operator<=>(const crash_record&) const = default;
-
-private:
-    std::vector<core::worker_id> workers;
-    core::time_point last_at;
+enum class guard_decision {
+    pass,
+    /// Blocked, but sent to one worker to find out whether it still crashes.
+    trial,
+    refuse
 };
 
+/// Crash records by fingerprint.
+using named_crash_record = std::pair<std::uint64_t, crash_record>;
+
 /// Detects requests that crash each worker that runs them, and blocks them
 /// after `max_crashed_workers`. A request is identified by its fingerprint, so
-/// that a resend under another id is detected too. A request that succeeds on a
-/// worker after a crash did not cause it: when a rack fails, frequent lookups
-/// break on several workers at once.
+/// that a resend under another id is detected too. A request that a worker
+/// answers after a crash did not cause it. A blocked request is sent again as a
+/// trial, less often after each crash, so that one that was blocked because of
+/// other faults is served again.
 class request_guard {
 public:
-    /// Records that a worker's connection broke while it ran the request. True
-    /// if this worker is new for the fingerprint and peers should be notified.
-    bool on_crash(std::uint64_t fingerprint, const core::worker_id& worker,
+    /// Records that a worker crashed while it ran the request. Returns the
+    /// record if the run is new, for the other daemons.
+    std::optional<crash_record> on_crash(
+        std::uint64_t fingerprint, const crash_event& crash);
+
+    /// A worker ran the request to its end. Returns the record if there were
+    /// crashes that this refutes, for the other daemons.
+    std::optional<crash_record> on_success(std::uint64_t fingerprint);
+
+    /// Merges the record of another daemon; returns the result.
+    crash_record merge(std::uint64_t fingerprint, const crash_record& received);
+
+    /// Decides about a request. `trial_delay` is added to the time of the next
+    /// trial, so that the daemons don't all start one at the same time.
+    guard_decision check(std::uint64_t fingerprint,
+        const core::request_id& request, core::duration trial_delay,
         core::time_point now);
 
-    /// Erases the crash record of a request that a worker answered.
-    void on_success(std::uint64_t fingerprint);
-
     bool is_blocked(std::uint64_t fingerprint, core::time_point now) const;
 
+    std::optional<crash_record> find(std::uint64_t fingerprint) const;
+    /// At most `count` records of blocked requests.
+    std::vector<named_crash_record> blocking_records(
+        std::size_t count, core::time_point now) const;
+
     /// Erases expired records; returns their number.
     std::size_t expire(core::time_point now);
 
     /// Number of fingerprints with a crash record.
-    std::size_t size() const { return this->records.size(); }
+    std::size_t size() const { return this->record_count.load(); }
 
 private:
     core::sharded_map<std::uint64_t, crash_record> records;
--- a/tests/caller/request_pipeline_test.cpp
+++ b/tests/caller/request_pipeline_test.cpp
@@ -37,7 +37,7 @@
 };
 
 struct guard_mock {
-    MAKE_MOCK1(is_blocked, bool(const caller_request&));
+    MAKE_MOCK1(admits, bool(const caller_request&));
 };
 
 struct dispatcher_mock {
@@ -116,7 +116,7 @@
         dispatcher_mock, recorder_mock>
         pipeline{ gate, registry, crash_guard, upstreams, outcome_recorder };
     std::unique_ptr<trompeloeil::expectation> not_blocked
-        = NAMED_ALLOW_CALL(crash_guard, is_blocked(_)).RETURN(false);
+        = NAMED_ALLOW_CALL(crash_guard, admits(_)).RETURN(true);
     caller_request request;
     admission_ticket ticket;
     core::time_point cancel_at = core::time_point::max();
@@ -219,7 +219,7 @@
     test.request = caller_request::make(test.request.get_id(),
         is_id_from_caller, test.request.get_account(), test.request.get_kind(),
         test.request.get_deadline(), {});
-    REQUIRE_CALL(test.crash_guard, is_blocked(_)).LR_RETURN(true);
+    REQUIRE_CALL(test.crash_guard, admits(_)).LR_RETURN(false);
     test.expect(
         is_id_from_caller ? outcome_kind::unknown : outcome_kind::not_run, 422);
 }
--- a/tests/fleet/message_codec_test.cpp
+++ b/tests/fleet/message_codec_test.cpp
@@ -65,6 +65,25 @@
     return made;
 }
 
+std::optional<mark_report> any_mark()
+{
+    return *arbitrary<bool>()
+        ? std::optional(mark_report::make(core::request_id(text()), span()))
+        : std::nullopt;
+}
+
+crash_report any_crash()
+{
+    return crash_report::make(core::request_id(text()), core::worker_id(text()),
+        span(), span(), *arbitrary<bool>());
+}
+
+crash_history any_crash_history()
+{
+    return crash_history::make(
+        number(), list(any_crash), any_mark(), any_mark());
+}
+
 member any_member()
 {
     core::error reason;
@@ -218,8 +237,7 @@
     case 6:
         return any_verdicts();
     case 7:
-        return crash_notice::make(
-            number(), core::request_id(text()), core::worker_id(text()));
+        return crash_notice::make(list(any_crash_history));
     case 8:
         return *arbitrary<bool>() ? receipt::accepted()
                                   : receipt::failed(text());
--- a/tests/fleet/message_size_test.cpp
+++ b/tests/fleet/message_size_test.cpp
@@ -78,8 +78,11 @@
         caller::claim_answer::make(caller::claim_verdict::granted,
             caller::claim_state::running, core::version_number(900))));
     size_of(claim_settle::make(request, by, caller::claim_state::finished));
-    size_of(
-        crash_notice::make(1ULL << 60, request, core::worker_id("ballots-12")));
+    const auto history = crash_history::make(1ULL << 60,
+        { crash_report::make(request, core::worker_id("ballots-12"),
+            core::milliseconds(700), core::milliseconds(300), false) },
+        std::nullopt, std::nullopt);
+    size_of(crash_notice::make({ history }));
     size_of(fetch_document::make(
         core::document_name("configuration"), core::version_number(40'000)));
     size_of(ping_request::make(typical_member(1), core::daemon_id("entry-2"),
--- a/tests/upstream/dispatcher_test.cpp
+++ b/tests/upstream/dispatcher_test.cpp
@@ -35,8 +35,10 @@
         this->seen.emplace_back(worker_id, result);
     }
 
-    void on_crash(const forward_request&, const core::worker_id&)
+    void on_crash(const forward_request&, const core::worker_id&,
+        core::time_point started_at, core::time_point ended_at)
     {
+        CHECK(started_at <= ended_at);
         ++this->crashes;
     }
 
--- a/tests/upstream/placing_dispatcher_test.cpp
+++ b/tests/upstream/placing_dispatcher_test.cpp
@@ -28,8 +28,10 @@
 };
 
 struct crash_counter {
-    void on_crash(const forward_request&, const core::worker_id&)
+    void on_crash(const forward_request&, const core::worker_id&,
+        core::time_point started_at, core::time_point ended_at)
     {
+        CHECK(started_at <= ended_at);
         ++this->crashes;
     }
 
