Send crash records to all daemons and exchange them

Cause: a notice of a crash was sent once, to three daemons that were fixed by the fingerprint, and forwarded in the same way. Daemons that are gone stay listed, so that notices went to them; a daemon that nobody selected or that was restarted never got them.

Change: a changed record is sent to all listed daemons by the daemon that changed it. Daemons with records of blocked requests exchange them with a random daemon each second; the reply has what the sender lacks. A new daemon reads the records of three others. A notice costs N messages in place of 3 N.

--- a/src/main/daemon.cpp
+++ b/src/main/daemon.cpp
@@ -91,6 +91,8 @@
     this->roster_updates.start();
     this->evidence.start();
     this->terms.start();
+    asio::co_spawn(
+        asio::make_strand(this->context), this->guard.run(), asio::detached);
     asio::co_spawn(
         asio::make_strand(this->context), this->probes.run(), asio::detached);
     return true;
@@ -135,6 +137,7 @@
     this->roster_updates.stop();
     this->evidence.stop();
     this->terms.stop();
+    this->guard.stop();
     this->fleet.stop();
 }
 
--- a/src/main/entry_daemon.hpp
+++ b/src/main/entry_daemon.hpp
@@ -136,6 +136,7 @@
         this->spawn(this->configuration_watch.run());
         this->spawn(this->worker_watch.run());
         this->spawn(this->store_state.run());
+        this->spawn(this->guard.run());
         this->spawn(this->join_fleet());
         this->spawn(this->maintain());
         return true;
@@ -166,6 +167,7 @@
         this->configuration_watch.stop();
         this->worker_watch.stop();
         this->store_state.stop();
+        this->guard.stop();
         this->zone.stop();
         operators::write(operators::event::make("daemon.drained"));
     }
--- a/src/main/replicated_guard.hpp
+++ b/src/main/replicated_guard.hpp
@@ -3,28 +3,35 @@
 #include "caller/caller_request.hpp"
 #include "core/ids.hpp"
 #include "core/rendezvous.hpp"
+#include "core/runtime_timer.hpp"
 #include "fleet/aggregator_selection.hpp"
 #include "fleet/crash_notice.hpp"
 #include "fleet/message.hpp"
 #include "main/crash_histories.hpp"
 #include "main/fleet_network.hpp"
 #include "operators/event.hpp"
+#include "upstream/dispatcher.hpp"
 #include "upstream/forward_request.hpp"
 #include "upstream/request_fingerprint.hpp"
 #include "upstream/request_guard.hpp"
 
+#include <boost/asio/awaitable.hpp>
+
 #include <algorithm>
+#include <atomic>
 #include <concepts>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
 namespace pollenward::main {
 
-/// Sends messages to the other daemons of the fleet.
+/// Sends messages to the other daemons of the fleet. `live_daemons()` may still
+/// contain daemons that are gone.
 template <class Type>
-concept daemon_network = requires(
-    Type& type, const core::daemon_id& peer, fleet::message content) {
+concept daemon_network = requires(Type& type, const core::daemon_id& peer,
+    fleet::message content, core::error& reason) {
     {
         type.self().get_id()
     } -> std::convertible_to<core::daemon_id>;
@@ -32,10 +39,16 @@
         type.live_daemons()
     } -> std::same_as<std::vector<fleet::zone_daemon>>;
     type.send(peer, content);
+    {
+        type.exchange(peer, content, reason)
+    } -> std::same_as<boost::asio::awaitable<std::optional<fleet::message>>>;
 };
 
 /// Intervals of a replicated guard.
 struct guard_sync_times {
+    /// Time between exchanges of records with one other daemon, and between
+    /// attempts of a new daemon to read the records of the others.
+    core::milliseconds exchange{ 1000 };
     /// Time between the trials that two daemons may start, more than a notice
     /// needs to reach the whole fleet.
     core::milliseconds trial_step{ 250 };
@@ -43,8 +56,11 @@
     core::milliseconds max_trial_spread{ 10'000 };
 };
 
-/// The request guard of this daemon, replicated by gossip: each change of a
-/// record is forwarded to a few daemons, which do the same.
+/// The request guard of this daemon and its replication. A change of a record
+/// is sent to all listed daemons at once. Since a notice can be lost, and a
+/// daemon may have been restarted, each daemon also exchanges the records of
+/// blocked requests with a random other one, and a new daemon reads them from a
+/// few others.
 template <daemon_network Network>
 class basic_replicated_guard {
 public:
@@ -136,13 +152,8 @@
                 continue;
             }
             const bool was_blocked = this->guard.is_blocked(fingerprint, now);
-            const auto before = this->guard.find(fingerprint);
             const auto own = this->guard.merge(fingerprint, received.second);
             this->write_change(fingerprint, was_blocked);
-            if (before != own)
-            {
-                this->send_record(fingerprint);
-            }
             named.push_back(fingerprint);
             if (received.second.lacks(own))
             {
@@ -164,12 +175,58 @@
         return make_notice(lacking, now);
     }
 
+    /// Exchanges records with other daemons until stop().
+    boost::asio::awaitable<void> run()
+    {
+        bool is_joined = false;
+        while (!this->stopped)
+        {
+            co_await core::wait_until(
+                core::runtime_clock::now() + this->times.exchange);
+            const auto own
+                = this->guard.blocking_records(1, core::runtime_clock::now());
+            if (is_joined && own.empty())
+            {
+                continue;
+            }
+            for (const core::daemon_id& peer :
+                this->select_peers(is_joined ? 1 : join_peers))
+            {
+                const bool has_reply = co_await this->exchange_records(peer);
+                is_joined = is_joined || has_reply;
+            }
+        }
+    }
+
+    void stop() { this->stopped = true; }
+
+    /// Sends the records of blocked requests to a daemon and merges its reply.
+    /// False without a reply.
+    boost::asio::awaitable<bool> exchange_records(core::daemon_id peer)
+    {
+        const auto now = core::runtime_clock::now();
+        fleet::message sent(
+            make_notice(this->guard.blocking_records(
+                            fleet::crash_notice::max_histories, now),
+                now));
+        core::error reason;
+        const auto reply = co_await this->network.exchange(
+            std::move(peer), std::move(sent), reason);
+        const auto* notice
+            = reply ? std::get_if<fleet::crash_notice>(&*reply) : nullptr;
+        if (notice != nullptr)
+        {
+            this->on_notice(*notice);
+        }
+        co_return reply.has_value();
+    }
+
     upstream::request_guard& get_guard() { return this->guard; }
 
 private:
-    /// If each daemon forwards a notice to three others, it reaches 470 daemons
-    /// in about six steps.
-    static constexpr std::size_t notice_fanout = 3;
+    /// Daemons that a new one asks, so that one that is new itself does not
+    /// matter.
+    static constexpr std::size_t join_peers = 3;
 
     static std::uint64_t fingerprint_of(
         const upstream::forward_request& request)
@@ -205,6 +262,12 @@
         return found;
     }
 
+    std::vector<core::daemon_id> select_peers(std::size_t count) const
+    {
+        const auto key = std::to_string(upstream::random_bits());
+        return core::rendezvous_top(key, this->others(), count);
+    }
+
     /// The daemons may start a trial one after the other, in an order that
     /// depends on the request.
     core::duration trial_delay(std::uint64_t fingerprint) const
@@ -250,11 +313,7 @@
         }
         const auto notice = make_notice(
             { { fingerprint, *record } }, core::runtime_clock::now());
-        // Each daemon selects different peers, so that a notice reaches all.
-        const std::string key
-            = this->network.self().get_id().str() + std::to_string(fingerprint);
-        for (const core::daemon_id& peer :
-            core::rendezvous_top(key, this->others(), notice_fanout))
+        for (const core::daemon_id& peer : this->others())
         {
             this->network.send(peer, notice);
         }
@@ -263,6 +322,7 @@
     Network& network;
     guard_sync_times times;
     upstream::request_guard guard;
+    std::atomic<bool> stopped{ false };
 };
 
 using replicated_guard = basic_replicated_guard<fleet_network>;
--- a/src/main/zone_synchronizer.cpp
+++ b/src/main/zone_synchronizer.cpp
@@ -87,27 +87,38 @@
 void zone_synchronizer::send(
     const core::daemon_id& peer, fleet::message content)
 {
-    const auto to = this->find(peer);
-    if (!to)
-    {
-        return;
-    }
     asio::co_spawn(
         this->context,
-        [](zone_synchronizer& self, core::endpoint address,
+        [](zone_synchronizer& self, core::daemon_id to,
             fleet::message sent) -> asio::awaitable<void> {
             core::error reason;
-            const auto reply = co_await self.transport.exchange(
-                std::move(address), std::move(sent), reason);
+            const auto reply = co_await self.exchange(
+                std::move(to), std::move(sent), reason);
             if (!reply)
             {
                 operators::write(operators::event::make("fleet.tell_failed")
                                      .with("cause", reason));
             }
-        }(*this, to->get_address(), std::move(content)),
+        }(*this, peer, std::move(content)),
         asio::detached);
 }
 
+asio::awaitable<std::optional<fleet::message>> zone_synchronizer::exchange(
+    core::daemon_id peer, fleet::message content, core::error& reason)
+{
+    const auto to = this->find(peer);
+    if (!to)
+    {
+        reason = core::error::make(
+            "exchange with daemon", peer.str(), "is not listed");
+        co_return std::nullopt;
+    }
+    core::endpoint address = to->get_address();
+    auto reply = co_await this->transport.exchange(
+        std::move(address), std::move(content), reason);
+    co_return reply;
+}
+
 std::vector<fleet::member> zone_synchronizer::aggregators(
     std::size_t count, core::time_point now) const
 {
--- a/src/main/zone_synchronizer.hpp
+++ b/src/main/zone_synchronizer.hpp
@@ -55,6 +55,9 @@
     const fleet::member& self() const { return this->identity; }
     std::vector<fleet::zone_daemon> live_daemons() const;
     void send(const core::daemon_id& peer, fleet::message content);
+    /// Nothing, with the reason, without a reply.
+    boost::asio::awaitable<std::optional<fleet::message>> exchange(
+        core::daemon_id peer, fleet::message content, core::error& reason);
 
     std::vector<fleet::member> members() const;
     std::optional<fleet::member> find(const core::daemon_id& id) const;
