Remove daemons that are gone from the list of daemons

Cause: only a daemon that stops in order removes its entry.

Change: each daemon checks the next one of its zone with each new list, and the ones after it while they don't reply. An entry is removed after 15 s of silence, only in the revision that was listed; a daemon that reaches no other one removes none, and one that was removed by mistake registers again and is removed later each time. Cost: one exchange in 4 s within the zone, for each daemon.

--- a/src/main/entry_daemon.hpp
+++ b/src/main/entry_daemon.hpp
@@ -12,6 +12,7 @@
 #include "main/entry_view.hpp"
 #include "main/replicated_guard.hpp"
 #include "main/settings.hpp"
+#include "main/stale_daemon_remover.hpp"
 #include "main/store_state_synchronizer.hpp"
 #include "main/zone_synchronizer.hpp"
 #include "operators/admin_server.hpp"
@@ -53,6 +54,7 @@
            {
                store.withdraw(self)
            } -> std::same_as<boost::asio::awaitable<bool>>;
+           requires daemon_register<typename Type::store>;
            {
                store.list_daemons()
            } -> std::same_as<
@@ -97,6 +99,7 @@
                   .with_capacity(this->initial_settings.get_capacity()),
               this->placement)
         , guard(this->zone)
+        , stale_daemons(this->guard, this->store)
         , dispatcher(context.get_executor(), this->placement, this->guard,
               this->initial_settings.get_retry_limits(),
               this->initial_settings.get_placement_costs())
@@ -297,6 +300,7 @@
             if (listed.get_status() == platform::listing_status::complete)
             {
                 is_announced = this->store_members(listed) && is_announced;
+                co_await this->stale_daemons.check(this->zone.self(), listed);
             }
             co_await core::wait_until(core::runtime_clock::now() + pause);
             pause = std::min(pause * 2, longest_pause);
@@ -377,6 +381,7 @@
     typename Platform::store store;
     zone_synchronizer zone;
     guard_type guard;
+    stale_daemon_remover<guard_type, typename Platform::store> stale_daemons;
     dispatcher_type dispatcher;
     entry_limits limits;
     gate_type gate;
--- a/src/platform/listing.hpp
+++ b/src/platform/listing.hpp
@@ -39,7 +39,17 @@
         return made;
     }
 
+    /// A copy with the revision of the object's last change.
+    listed_object with_revision(store_revision changed) const
+    {
+        listed_object next = *this;
+        next.revision = changed;
+        return next;
+    }
+
     const std::string& get_name() const { return this->name; }
+    /// 0 if it is not known.
+    store_revision get_revision() const { return this->revision; }
     /// Nothing if the object was removed or is not valid for its kind.
     const std::optional<Value>& get_value() const { return this->value; }
 
@@ -48,6 +58,7 @@
 private:
     std::string name;
     std::optional<Value> value;
+    store_revision revision{ 0 };
 };
 
 /// The objects of one kind, or their changes, at a revision of the store.
--- a/tests/adapter/object_store_test.cpp
+++ b/tests/adapter/object_store_test.cpp
@@ -267,6 +267,33 @@
     CHECK(watch() == listing_status::failed);
 }
 
+// Guards against removing the entry of a daemon that has registered again.
+TEST_CASE(
+    "an entry is removed only in the revision that was listed", "[adapter]")
+{
+    const std::string object
+        = R"({"Metadata":{"Name":"d-1","Revision":41},"Spec":{"address":)"
+          R"("10.0.0.1:7200","zone":"a","incarnation":1}})";
+    store_fixture fixture(
+        { reply("200 OK",
+              R"({"items":[)" + object
+                  + R"(],"HasMore":false,"StoreRevision":70})"),
+            reply("409 Conflict", object), reply("200 OK", "{}") });
+    const auto listed
+        = run_to_end(fixture.context, fixture.store.list_daemons());
+    REQUIRE(listed.get_objects().size() == 1);
+    const auto& entry = listed.get_objects().front();
+    CHECK(entry.get_revision() == platform::store_revision(41));
+    const auto remove = [&] {
+        return run_to_end(fixture.context,
+            fixture.store.remove(*entry.get_value(), entry.get_revision()));
+    };
+    CHECK_FALSE(remove());
+    CHECK(fixture.lines[1]
+        == "DELETE /objects/pollenward-daemons/d-1?Revision=41");
+    CHECK(remove());
+}
+
 // Guards against a daemon that the others cannot find after a restart.
 TEST_CASE("a daemon replaces the entry of its earlier run", "[adapter]")
 {
