Bound the memory of all bodies together

Cause: each answer was bounded (16 MB), their sum was not; and each body existed four to five times: parser, message, request to forward, request in flight, copy with limits.

Change: bodies are immutable texts whose copies share their bytes, and all bodies take their bytes from one budget: 0.4 of daemon.memory, by default of the memory of the host. Beyond it a request is refused (503, not run, with Retry-After), and an answer is lost (502); the bytes return with the last copy. The heads of answers and the frames of chunks were bounded before; a test of endless trailers is new and passes without a change.

--- a/src/caller/caller_answer.hpp
+++ b/src/caller/caller_answer.hpp
@@ -2,6 +2,7 @@
 
 #include "caller/outcome.hpp"
 #include "core/header_field.hpp"
+#include "core/shared_text.hpp"
 
 #include <compare>
 #include <string>
@@ -14,7 +15,7 @@
 class caller_answer {
 public:
     static caller_answer make(
-        outcome result, core::header_fields headers, std::string body)
+        outcome result, core::header_fields headers, core::shared_text body)
     {
         return caller_answer(
             std::move(result), std::move(headers), std::move(body));
@@ -27,12 +28,13 @@
 
     const outcome& get_outcome() const { return this->result; }
     const core::header_fields& get_headers() const { return this->headers; }
-    const std::string& get_body() const { return this->body; }
+    const std::string& get_body() const { return this->body.str(); }
 
     auto operator<=>(const caller_answer&) const = default;
 
 private:
-    caller_answer(outcome result, core::header_fields headers, std::string body)
+    caller_answer(
+        outcome result, core::header_fields headers, core::shared_text body)
         : result(std::move(result))
         , headers(std::move(headers))
         , body(std::move(body))
@@ -41,7 +43,7 @@
 
     outcome result;
     core::header_fields headers;
-    std::string body;
+    core::shared_text body;
 };
 
 } // namespace pollenward::caller
--- a/src/caller/http_message.cpp
+++ b/src/caller/http_message.cpp
@@ -98,7 +98,8 @@
         max_timeout, now, reason);
 }
 
-upstream::request_message to_message(const http_request& message)
+upstream::request_message to_message(
+    const http_request& message, core::shared_text body)
 {
     const auto is_daemon_field = [](boost::beast::string_view name) {
         return std::any_of(daemon_fields.begin(), daemon_fields.end(),
@@ -109,7 +110,7 @@
     return upstream::request_message::make(
         std::string(to_view(message.method_string())),
         std::string(to_view(message.target())),
-        end_to_end_fields(message, is_daemon_field), message.body());
+        end_to_end_fields(message, is_daemon_field), std::move(body));
 }
 
 core::request_id id_for_answer(const http_request& message)
@@ -181,6 +182,12 @@
     {
         return refusal(408, "request was not read in time");
     }
+    if (failure == boost::system::errc::not_enough_memory)
+    {
+        constexpr core::milliseconds retry_after{ 1000 };
+        return caller_answer::without_body(outcome::not_run(
+            503, "no memory is left for the body", retry_after));
+    }
     if (failure == http::error::header_limit)
     {
         return refusal(431, "header is too large");
--- a/src/caller/http_message.hpp
+++ b/src/caller/http_message.hpp
@@ -43,7 +43,8 @@
 
 /// The message as sent to a worker: end-to-end fields only, without those that
 /// the daemon sets itself.
-upstream::request_message to_message(const http_request& message);
+upstream::request_message to_message(
+    const http_request& message, core::shared_text body);
 
 /// True for fields that concern one connection or that each hop sets itself.
 bool is_hop_by_hop(boost::beast::http::field name);
@@ -135,9 +136,10 @@
         return caller::read_head(message, kind, max_timeout, now, reason);
     }
 
-    static upstream::request_message to_message(const http_request& message)
+    static upstream::request_message to_message(
+        const http_request& message, core::shared_text body)
     {
-        return caller::to_message(message);
+        return caller::to_message(message, std::move(body));
     }
 
     static http_response to_response(const caller_answer& answer,
--- a/src/caller/http_server.hpp
+++ b/src/caller/http_server.hpp
@@ -9,7 +9,9 @@
 #include "caller/route_table.hpp"
 #include "core/endpoint.hpp"
 #include "core/error.hpp"
+#include "core/memory_budget.hpp"
 #include "core/runtime_timer.hpp"
+#include "core/shared_text.hpp"
 #include "core/tcp_listener.hpp"
 #include "operators/event.hpp"
 
@@ -31,6 +33,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 
 namespace pollenward::caller {
@@ -44,29 +47,30 @@
 /// this package. `Router` provides the routes and limits that the dialect looks
 /// up.
 template <class Type, class Router>
-concept caller_dialect = requires(const Router& routes,
-    const http_request& message, const operators::kind_settings& kind,
-    core::time_point now, core::error& reason, const caller_answer& answer,
-    const core::request_id& id) {
-    {
-        Type::limits(routes)
-    } -> std::same_as<caller_limits>;
-    {
-        Type::find_kind(routes, message)
-    } -> std::same_as<std::optional<operators::kind_settings>>;
-    {
-        Type::answer_without_route(routes)
-    } -> std::same_as<caller_answer>;
-    {
-        Type::read_head(message, kind, routes.max_timeout(), now, reason)
-    } -> std::same_as<std::optional<request_head>>;
-    {
-        Type::to_message(message)
-    } -> std::same_as<upstream::request_message>;
-    {
-        Type::to_response(answer, message, id)
-    } -> std::same_as<http_response>;
-};
+concept caller_dialect
+    = requires(const Router& routes, const http_request& message,
+        core::shared_text body, const operators::kind_settings& kind,
+        core::time_point now, core::error& reason, const caller_answer& answer,
+        const core::request_id& id) {
+          {
+              Type::limits(routes)
+          } -> std::same_as<caller_limits>;
+          {
+              Type::find_kind(routes, message)
+          } -> std::same_as<std::optional<operators::kind_settings>>;
+          {
+              Type::answer_without_route(routes)
+          } -> std::same_as<caller_answer>;
+          {
+              Type::read_head(message, kind, routes.max_timeout(), now, reason)
+          } -> std::same_as<std::optional<request_head>>;
+          {
+              Type::to_message(message, body)
+          } -> std::same_as<upstream::request_message>;
+          {
+              Type::to_response(answer, message, id)
+          } -> std::same_as<http_response>;
+      };
 
 /// Processes a request and returns its answer.
 template <class Type>
@@ -83,12 +87,15 @@
     requires caller_dialect<Dialect, Router>
 class http_server {
 public:
+    /// `bodies` bounds the bodies of all requests that are in memory.
     http_server(boost::asio::io_context& context, const Router& routes,
-        Handler& handler)
+        Handler& handler,
+        core::memory_budget bodies = core::memory_budget::unlimited())
         : listener(context)
         , connections(context)
         , routes(routes)
         , handler(handler)
+        , bodies(std::move(bodies))
     {
     }
 
@@ -261,6 +268,12 @@
                 http::make_error_code(http::error::body_limit));
         }
         incoming.body_limit(limit);
+        core::memory_lease reserved = this->bodies.lease();
+        if (!reserved.resize(incoming.content_length().value_or(0)))
+        {
+            co_return co_await this->refuse_failed_read(connection, incoming,
+                make_error_code(boost::system::errc::not_enough_memory));
+        }
         if (is_continue_expected(incoming.get()) && !incoming.is_done())
         {
             const bool is_written = co_await this->write_continue(connection);
@@ -271,23 +284,48 @@
         }
         const auto failure = co_await this->complete_within(
             Dialect::limits(this->routes).get_body_time(),
-            http::async_read(
-                connection.socket, connection.buffer, incoming, as_result()));
+            this->read_body(connection, incoming, reserved));
         if (failure)
         {
             co_return co_await this->refuse_failed_read(
                 connection, incoming, failure);
         }
-        co_return co_await this->run(connection, incoming.get(), head);
+        auto body = core::shared_text::make(
+            std::exchange(incoming.get().body(), {}), std::move(reserved));
+        co_return co_await this->run(
+            connection, incoming.get(), std::move(body), head);
+    }
+
+    /// Reads the rest of a request while there is memory for its body.
+    boost::asio::awaitable<std::tuple<boost::system::error_code>> read_body(
+        caller_connection& connection, http_parser& incoming,
+        core::memory_lease& reserved)
+    {
+        boost::system::error_code failure;
+        while (!failure && !incoming.is_done())
+        {
+            const auto read = co_await boost::beast::http::async_read_some(
+                connection.socket, connection.buffer, incoming, as_result());
+            failure = std::get<0>(read);
+            const std::size_t held = incoming.get().body().capacity();
+            if (!failure && held > reserved.size() && !reserved.resize(held))
+            {
+                failure
+                    = make_error_code(boost::system::errc::not_enough_memory);
+            }
+        }
+        co_return std::tuple(failure);
     }
 
     /// Runs a complete request, and cancels it if the caller disconnects.
     boost::asio::awaitable<bool> run(caller_connection& connection,
-        const http_request& message, const request_head& head)
+        const http_request& message, core::shared_text body,
+        const request_head& head)
     {
         using namespace boost::asio::experimental::awaitable_operators;
-        const auto answer = co_await (
-            this->handle(head.with_message(Dialect::to_message(message)))
+        auto request
+            = head.with_message(Dialect::to_message(message, std::move(body)));
+        const auto answer = co_await (this->handle(std::move(request))
             || connection.wait_for_peer_close());
         if (answer.index() != 0)
         {
@@ -392,6 +430,7 @@
     connection_table connections;
     const Router& routes;
     Handler& handler;
+    core::memory_budget bodies;
 };
 
 } // namespace pollenward::caller
--- a/src/caller/pipeline_answers.cpp
+++ b/src/caller/pipeline_answers.cpp
@@ -43,7 +43,7 @@
     if (const auto& response = result.get_response())
     {
         return caller_answer::make(outcome::answered(response->get_status()),
-            response->get_headers(), response->get_body());
+            response->get_headers(), response->get_shared_body());
     }
     if (result.get_certainty() == upstream::run_certainty::not_run)
     {
--- a/src/main/daemon.cpp
+++ b/src/main/daemon.cpp
@@ -46,8 +46,9 @@
     , guard(this->fleet)
     , aggregators(this->startup_settings.get_zone(), wall_clock_offset())
     , applier(this->configuration, this->workers, this->claims, this->fleet)
-    , dispatcher(
-          context.get_executor(), this->standings, this->standings, this->guard)
+    , bodies(this->startup_settings.make_body_budget())
+    , dispatcher(context.get_executor(), this->standings, this->standings,
+          this->guard, this->bodies)
     , upstreams(this->dispatcher, this->guard)
     , limits(this->dispatcher, this->configuration)
     , gate(this->limits)
@@ -66,7 +67,7 @@
           this->dispatcher.get_connections())
     , requests(
           this->gate, this->claims, this->guard, this->upstreams, this->metrics)
-    , callers(context, this->configuration, this->requests)
+    , callers(context, this->configuration, this->requests, this->bodies)
     , view({ this->configuration, this->store, this->publisher, this->sync,
           this->fleet, this->claims, this->guard, this->dispatcher,
           this->standings, this->metrics,
--- a/src/main/daemon.hpp
+++ b/src/main/daemon.hpp
@@ -80,6 +80,7 @@
     claim_client peer_claims;
     claim_service claims;
     replicated_guard guard;
+    core::memory_budget bodies;
     evidence_aggregator aggregators;
     document_applier applier;
     worker_dispatcher dispatcher;
--- a/src/main/entry_daemon.hpp
+++ b/src/main/entry_daemon.hpp
@@ -100,15 +100,17 @@
               this->placement)
         , guard(this->zone)
         , stale_daemons(this->guard, this->store)
+        , bodies(this->initial_settings.make_body_budget())
         , dispatcher(context.get_executor(), this->placement, this->guard,
               this->initial_settings.get_retry_limits(),
-              this->initial_settings.get_placement_costs())
+              this->initial_settings.get_placement_costs(),
+              { .bodies = this->bodies })
         , limits(this->placement)
         , gate(this->limits)
         , upstreams{ *this }
         , requests(this->gate, this->claims, this->guard, this->upstreams,
               this->metrics)
-        , callers(context, this->configuration, this->requests)
+        , callers(context, this->configuration, this->requests, this->bodies)
         , view(this->configuration, this->placement, this->zone, this->metrics)
         , admin(context, this->view)
         , configurations(this->configuration, this->role)
@@ -382,6 +384,7 @@
     zone_synchronizer zone;
     guard_type guard;
     stale_daemon_remover<guard_type, typename Platform::store> stale_daemons;
+    core::memory_budget bodies;
     dispatcher_type dispatcher;
     entry_limits limits;
     gate_type gate;
--- a/src/main/settings.cpp
+++ b/src/main/settings.cpp
@@ -8,6 +8,7 @@
 #include <string>
 
 #include <toml++/toml.h>
+#include <unistd.h>
 
 namespace pollenward::main {
 
@@ -20,6 +21,13 @@
     /// Time reserved for leaving the fleet and exiting after the last request.
     constexpr core::milliseconds exit_time{ 400 };
 
+    /// In bytes.
+    double memory_of_host()
+    {
+        return static_cast<double>(::sysconf(_SC_PHYS_PAGES))
+            * static_cast<double>(::sysconf(_SC_PAGESIZE));
+    }
+
     /// Parses "250ms", "2s" or "2.5s"; a number without a unit is refused.
     std::optional<core::milliseconds> parse_duration(std::string_view text)
     {
@@ -313,6 +321,19 @@
 
 } // namespace
 
+core::memory_budget settings::make_body_budget() const
+{
+    // Beside the bodies, a response is copied while it is written, and a body
+    // without a length moves while it grows.
+    constexpr double body_share = 0.4;
+    constexpr double bytes_per_megabyte = 1 << 20;
+    const double granted = this->memory == 0
+        ? memory_of_host()
+        : bytes_per_megabyte * static_cast<double>(this->memory);
+    return core::memory_budget::make(
+        static_cast<std::size_t>(body_share * granted));
+}
+
 std::optional<settings> settings::create(std::string_view text,
     std::string_view file, std::vector<core::error>& reasons)
 {
@@ -332,6 +353,9 @@
     constexpr double max_capacity = 1e9;
     made.capacity = static_cast<std::uint64_t>(
         reader.read_number("daemon", "capacity", 0, 0, max_capacity));
+    constexpr double max_memory = 1e6;
+    made.memory = static_cast<std::uint64_t>(
+        reader.read_number("daemon", "memory", 0, 0, max_memory));
     made.drain_delay
         = reader.read_duration("daemon", "drain_delay", default_drain_delay);
     made.drain_limit
--- a/src/main/settings.hpp
+++ b/src/main/settings.hpp
@@ -3,6 +3,7 @@
 #include "core/endpoint.hpp"
 #include "core/error.hpp"
 #include "core/ids.hpp"
+#include "core/memory_budget.hpp"
 #include "core/runtime_clock.hpp"
 #include "upstream/retry_allowance.hpp"
 #include "upstream/worker_placement.hpp"
@@ -35,6 +36,10 @@
     /// read and merge for the others.
     std::uint64_t get_capacity() const { return this->capacity; }
 
+    /// Bounds the bodies of requests and responses in memory: a share of the
+    /// memory that the host grants.
+    core::memory_budget make_body_budget() const;
+
     /// Time between failing the balancer's check and closing the listener.
     core::milliseconds get_drain_delay() const { return this->drain_delay; }
 
@@ -101,6 +106,8 @@
     core::region_id region;
     int threads = 0;
     std::uint64_t capacity = 0;
+    /// In MB; 0 for the memory of the host.
+    std::uint64_t memory = 0;
     core::milliseconds drain_delay{};
     core::milliseconds drain_limit{};
     core::endpoint caller_endpoint;
--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -6,10 +6,11 @@
 
 namespace pollenward::upstream {
 
-connection_pool::connection_pool(
-    boost::asio::any_io_executor executor, core::duration idle_limit)
+connection_pool::connection_pool(boost::asio::any_io_executor executor,
+    core::duration idle_limit, core::memory_budget bodies)
     : executor(std::move(executor))
     , idle_limit(idle_limit)
+    , bodies(std::move(bodies))
 {
 }
 
@@ -47,7 +48,7 @@
         {
             return std::make_optional<connection_lease>(*this, id,
                 std::make_shared<worker_connection>(
-                    this->executor, target.get_address()),
+                    this->executor, target.get_address(), this->bodies),
                 false);
         }
         const bool is_usable = now < idle_since + this->idle_limit
@@ -88,7 +89,7 @@
     }
     return std::make_optional<connection_lease>(*this, target.get_id(),
         std::make_shared<worker_connection>(
-            this->executor, target.get_address()),
+            this->executor, target.get_address(), this->bodies),
         false);
 }
 
@@ -180,7 +181,7 @@
     auto remote = this->connection->get_remote();
     this->connection.reset();
     this->connection = std::make_shared<worker_connection>(
-        this->pool.executor, std::move(remote));
+        this->pool.executor, std::move(remote), this->pool.bodies);
     this->reused = false;
 }
 
--- a/src/upstream/connection_pool.hpp
+++ b/src/upstream/connection_pool.hpp
@@ -24,8 +24,10 @@
 public:
     static constexpr core::seconds default_idle_limit{ 30 };
 
+    /// `bodies` bounds the responses that are read at the same time.
     explicit connection_pool(boost::asio::any_io_executor executor,
-        core::duration idle_limit = default_idle_limit);
+        core::duration idle_limit = default_idle_limit,
+        core::memory_budget bodies = core::memory_budget::unlimited());
 
     /// A connection to the worker: an idle one without pending input, or a new
     /// one that is not connected. Nothing if `max_connections` are open.
@@ -69,6 +71,7 @@
 
     boost::asio::any_io_executor executor;
     core::duration idle_limit;
+    core::memory_budget bodies;
     core::sharded_map<core::worker_id, worker_entry> entries;
 };
 
--- a/src/upstream/dispatch_result.hpp
+++ b/src/upstream/dispatch_result.hpp
@@ -3,6 +3,7 @@
 #include "core/error.hpp"
 #include "core/header_field.hpp"
 #include "core/ids.hpp"
+#include "core/shared_text.hpp"
 #include "upstream/attempt_result.hpp"
 
 #include <compare>
@@ -16,7 +17,7 @@
 class response_message {
 public:
     static response_message make(
-        unsigned status, core::header_fields headers, std::string body)
+        unsigned status, core::header_fields headers, core::shared_text body)
     {
         response_message made;
         made.status = status;
@@ -27,14 +28,20 @@
 
     unsigned get_status() const { return this->status; }
     const core::header_fields& get_headers() const { return this->headers; }
-    const std::string& get_body() const { return this->body; }
+    const std::string& get_body() const { return this->body.str(); }
+    const core::shared_text& get_shared_body() const { return this->body; }
+
+    response_message with_body(core::shared_text changed) const
+    {
+        return make(this->status, this->headers, std::move(changed));
+    }
 
     auto operator<=>(const response_message&) const = default;
 
 private:
     unsigned status = 0;
     core::header_fields headers;
-    std::string body;
+    core::shared_text body;
 };
 
 /// How a forwarded request ended after all its attempts. `certainty` is
--- a/src/upstream/dispatcher.hpp
+++ b/src/upstream/dispatcher.hpp
@@ -57,11 +57,13 @@
 class dispatcher {
 public:
     dispatcher(boost::asio::any_io_executor executor,
-        const Standings& standings, Evidence& evidence, Crashes& crashes)
+        const Standings& standings, Evidence& evidence, Crashes& crashes,
+        core::memory_budget bodies = core::memory_budget::unlimited())
         : standings(standings)
         , evidence(evidence)
         , crashes(crashes)
-        , connections(std::move(executor))
+        , connections(std::move(executor), connection_pool::default_idle_limit,
+              std::move(bodies))
         , attempts(this->connections, this->state)
     {
     }
--- a/src/upstream/exchange_codec.cpp
+++ b/src/upstream/exchange_codec.cpp
@@ -53,8 +53,8 @@
                 std::string(field.name_string()), std::string(field.value())));
         }
     }
-    return response_message::make(
-        incoming.result_int(), std::move(headers), incoming.body());
+    return response_message::make(incoming.result_int(), std::move(headers),
+        core::shared_text::make(incoming.body()));
 }
 
 std::string native_worker_codec::encode_header(const forward_request& request,
--- a/src/upstream/exchange_result.hpp
+++ b/src/upstream/exchange_result.hpp
@@ -29,6 +29,17 @@
         return made;
     }
 
+    /// A copy whose response, if there is one, has this body.
+    exchange_result with_body(core::shared_text body) const
+    {
+        exchange_result next = *this;
+        if (next.response)
+        {
+            next.response = next.response->with_body(std::move(body));
+        }
+        return next;
+    }
+
     /// A copy with the requests a second that the worker stated to accept.
     exchange_result with_rate_limit(std::optional<double> per_second) const
     {
--- a/src/upstream/forward_request.hpp
+++ b/src/upstream/forward_request.hpp
@@ -4,6 +4,7 @@
 #include "core/ids.hpp"
 #include "core/rank.hpp"
 #include "core/runtime_clock.hpp"
+#include "core/shared_text.hpp"
 #include "operators/kind_settings.hpp"
 
 #include <compare>
@@ -16,7 +17,7 @@
 class request_message {
 public:
     static request_message make(std::string method, std::string target,
-        core::header_fields headers, std::string body)
+        core::header_fields headers, core::shared_text body)
     {
         request_message made;
         made.method = std::move(method);
@@ -29,7 +30,7 @@
     const std::string& get_method() const { return this->method; }
     const std::string& get_target() const { return this->target; }
     const core::header_fields& get_headers() const { return this->headers; }
-    const std::string& get_body() const { return this->body; }
+    const std::string& get_body() const { return this->body.str(); }
 
     auto operator<=>(const request_message&) const = default;
 
@@ -37,7 +38,7 @@
     std::string method;
     std::string target;
     core::header_fields headers;
-    std::string body;
+    core::shared_text body;
 };
 
 /// An admitted request that is to be sent to a worker of a service.
--- a/src/upstream/placing_dispatcher.hpp
+++ b/src/upstream/placing_dispatcher.hpp
@@ -48,6 +48,8 @@
     /// silent, and a request that is lost with it cannot be repeated. A new
     /// connection costs a worker one millisecond.
     core::milliseconds max_idle_time{ 1000 };
+    /// Bounds the responses that are read at the same time.
+    core::memory_budget bodies = core::memory_budget::unlimited();
 };
 
 /// Sends each request to the worker that is most likely to answer it, by the
@@ -65,7 +67,7 @@
         , crashes(crashes)
         , costs(costs)
         , limits(limits)
-        , connections(std::move(executor), limits.max_idle_time)
+        , connections(std::move(executor), limits.max_idle_time, limits.bodies)
         , allowances(terms)
     {
     }
--- a/src/upstream/worker_connection.cpp
+++ b/src/upstream/worker_connection.cpp
@@ -59,11 +59,12 @@
     return std::min<core::duration>(max_progress_limit, (deadline - now) / 3);
 }
 
-worker_connection::worker_connection(
-    const asio::any_io_executor& executor, core::endpoint remote)
+worker_connection::worker_connection(const asio::any_io_executor& executor,
+    core::endpoint remote, core::memory_budget bodies)
     : executor(executor)
     , socket(executor)
     , remote(std::move(remote))
+    , bodies(std::move(bodies))
 {
 }
 
@@ -173,6 +174,7 @@
     io_watchdog& watchdog)
 {
     boost::beast::flat_buffer buffer(max_unparsed_bytes);
+    core::memory_lease reserved = this->bodies.lease();
     for (int skipped = 0;; ++skipped)
     {
         http::response_parser<http::string_body> parser;
@@ -195,6 +197,12 @@
                 co_return transfer_result{ std::nullopt,
                     this->failed(kind, failure.message()) };
             }
+            if (!reserved.resize(parser.get().body().capacity()))
+            {
+                co_return transfer_result{ std::nullopt,
+                    this->failed(attempt_result::broken_after_send,
+                        "no memory is left for the response") };
+            }
         }
         this->response_ended = true;
         const auto& incoming = parser.get();
@@ -218,7 +226,8 @@
             && rules.has_id_of(incoming, request.get_id())
             && !this->has_early_input && skipped == 0
             && !this->has_pending_input();
-        co_return transfer_result{ parser.release(), exchange_result() };
+        co_return transfer_result{ parser.release(), exchange_result(),
+            std::move(reserved) };
     }
 }
 
--- a/src/upstream/worker_connection.hpp
+++ b/src/upstream/worker_connection.hpp
@@ -3,6 +3,7 @@
 #include "core/endpoint.hpp"
 #include "core/error.hpp"
 #include "core/ids.hpp"
+#include "core/memory_budget.hpp"
 #include "core/runtime_clock.hpp"
 #include "upstream/cancel_request.hpp"
 #include "upstream/exchange_codec.hpp"
@@ -70,8 +71,10 @@
 /// by the next request. A coroutine that uses it must run on a strand.
 class worker_connection {
 public:
-    worker_connection(
-        const boost::asio::any_io_executor& executor, core::endpoint remote);
+    /// `bodies` bounds the responses that all connections read.
+    worker_connection(const boost::asio::any_io_executor& executor,
+        core::endpoint remote,
+        core::memory_budget bodies = core::memory_budget::unlimited());
 
     /// False, with the reason, if no connection is established by the deadline.
     boost::asio::awaitable<bool> connect(
@@ -114,8 +117,11 @@
         {
             co_return read.failure;
         }
+        auto body = core::shared_text::make(
+            std::exchange(read.response->body(), {}), std::move(read.reserved));
         auto result = Codec::decode_response(
-            *read.response, request.get_id(), this->remote);
+            *read.response, request.get_id(), this->remote)
+                          .with_body(std::move(body));
         if (result.get_result() == attempt_result::broken_after_send)
         {
             this->close();
@@ -158,6 +164,8 @@
     struct transfer_result {
         std::optional<worker_response> response;
         exchange_result failure;
+        /// For the body of the response.
+        core::memory_lease reserved{};
     };
 
     /// Sends the encoded header and the body, and reads one whole response.
@@ -175,6 +183,7 @@
     boost::asio::any_io_executor executor;
     boost::asio::ip::tcp::socket socket;
     core::endpoint remote;
+    core::memory_budget bodies;
     std::size_t written = 0;
     core::time_point last_progress;
     bool reusable = false;
--- a/tests/adapter/caller_dialect_test.cpp
+++ b/tests/adapter/caller_dialect_test.cpp
@@ -96,7 +96,7 @@
     auto message = make_request();
     message.set("Connection", "close, X-Hop");
     message.set("X-Hop", "1");
-    const auto sent = caller_dialect::to_message(message);
+    const auto sent = caller_dialect::to_message(message, {});
     std::string names;
     for (const auto& field : sent.get_headers())
     {
--- a/tests/caller/http_server_test.cpp
+++ b/tests/caller/http_server_test.cpp
@@ -63,7 +63,8 @@
                 = state.cancelled() != asio::cancellation_type::none;
             this->change([&] { this->cancelled += is_cancelled ? 1 : 0; });
         }
-        co_return caller_answer::make(outcome::answered(200), {}, target);
+        co_return caller_answer::make(
+            outcome::answered(200), {}, core::shared_text::make(target));
     }
 
     /// Waits until the predicate, which is called under the lock, is true.
@@ -134,7 +135,10 @@
     asio::io_context context{ 2 };
     one_route routes;
     echo_handler handler;
-    http_server<one_route, echo_handler> server{ context, routes, handler };
+    /// Enough for one body, which takes 15 bytes or more.
+    static constexpr std::size_t max_bodies = 20;
+    http_server<one_route, echo_handler> server{ context, routes, handler,
+        core::memory_budget::make(max_bodies) };
     std::vector<std::jthread> threads;
 };
 
@@ -297,6 +301,35 @@
     test.handler.wait_for([&] { return test.handler.cancelled == 1; });
 }
 
+// Guards against bodies that are within the limit of one request and together
+// exceed the memory of the process.
+TEST_CASE("a body without memory for it is refused", "[caller]")
+{
+    server_test test;
+    caller_socket first(test);
+    caller_socket second(test);
+    const std::string head = "POST /votes/hold HTTP/1.1\r\nHost: a\r\n";
+    const std::string length = "Content-Length: 6\r\n\r\n";
+    first.send(head + length + "123456");
+    test.handler.wait_for([&] { return bool(test.handler.release); });
+    SECTION("announced")
+    {
+        second.send(head + "Expect: 100-continue\r\n" + length);
+    }
+    SECTION("chunked")
+    {
+        second.send(
+            head + "Transfer-Encoding: chunked\r\n\r\n8\r\n12345678\r\n");
+    }
+    const auto answer = second.read_until("\r\n\r\n");
+    CHECK(has(answer, "HTTP/1.1 503"));
+    CHECK(has(answer, "Request-Outcome: not-run"));
+    CHECK(has(answer, "Retry-After: "));
+    CHECK(test.handler.started == 1);
+    test.handler.release();
+    CHECK(has(first.read_until("/votes/hold"), "HTTP/1.1 200"));
+}
+
 // Guards against a shutdown that interrupts a request, that never ends, or
 // that cuts requests without counting them.
 TEST_CASE("a drain lets requests end and closes idle connections", "[caller]")
--- a/tests/caller/request_pipeline_test.cpp
+++ b/tests/caller/request_pipeline_test.cpp
@@ -151,8 +151,8 @@
     };
     SECTION("answered")
     {
-        dispatched(dispatch_result::answered(
-                       upstream::response_message::make(201, {}, "done")),
+        dispatched(dispatch_result::answered(upstream::response_message::make(
+                       201, {}, core::shared_text::make("done"))),
             claim_state::finished, outcome_kind::answered, 201);
     }
     SECTION("lost")
--- a/tests/main/replicated_guard_test.cpp
+++ b/tests/main/replicated_guard_test.cpp
@@ -130,8 +130,8 @@
     bool send(std::size_t daemon, const std::string& body, bool is_sound)
     {
         const core::request_id id("r" + std::to_string(this->next_request++));
-        const auto message
-            = upstream::request_message::make("POST", "/unsafe/cast", {}, body);
+        const auto message = upstream::request_message::make(
+            "POST", "/unsafe/cast", {}, core::shared_text::make(body));
         const auto kind = make_kind();
         const auto request = caller::caller_request::make(id, true, {}, kind,
             core::runtime_clock::now() + core::seconds(8), message);
@@ -176,7 +176,8 @@
         return upstream::forward_request::make(core::request_id(id),
             kind.get_service(), kind.get_id(), kind.get_rank(), false,
             core::runtime_clock::now() + core::seconds(8),
-            upstream::request_message::make("POST", "/unsafe/cast", {}, body));
+            upstream::request_message::make(
+                "POST", "/unsafe/cast", {}, core::shared_text::make(body)));
     }
 
     tested_guard& guard(std::size_t number) { return *this->guards[number]; }
--- a/tests/main/settings_test.cpp
+++ b/tests/main/settings_test.cpp
@@ -64,6 +64,12 @@
         faults);
     REQUIRE(sized);
     CHECK(sized->get_capacity() == 10);
+    CHECK(sized->make_body_budget().get_limit()
+        < core::memory_budget::unlimited().get_limit());
+    const auto bounded = main::settings::create(
+        replaced("threads = 3", "threads = 3\nmemory = 260"), "file", faults);
+    REQUIRE(bounded);
+    CHECK(bounded->make_body_budget().get_limit() == 109'051'904);
 }
 
 // Guards against a daemon that starts with only a part of its settings.
--- a/tests/upstream/worker_connection_test.cpp
+++ b/tests/upstream/worker_connection_test.cpp
@@ -121,6 +121,7 @@
         { chunked, "2710\r\n" + piece + "\r\n" },
         { chunked + "1;", piece },
         { chunked + "0\r\nField: ", piece },
+        { chunked + "0\r\n", "Field: " + std::string(100, 'x') + "\r\n" },
         { "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n" },
     };
     // The longest whole response, and what the sockets hold.
@@ -153,6 +154,61 @@
     }
 }
 
+// Guards against a daemon that runs out of memory because several workers send
+// bodies without an end at the same time, each within the bound of one answer.
+TEST_CASE("answers without an end share one bound", "[upstream]")
+{
+    constexpr int connections = 8;
+    constexpr std::size_t budget = 20U << 20U;
+    // What the sockets of one connection hold.
+    constexpr std::size_t max_in_sockets = 8U << 20U;
+    const auto bodies = core::memory_budget::make(budget);
+    asio::io_context context;
+    std::size_t sent = 0;
+    scripted_worker server(
+        context, [&](tcp::socket& socket, int) -> asio::awaitable<void> {
+            co_await read_header(socket);
+            std::string text = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n"
+                               "Content-Length: 16000000\r\n\r\n";
+            for (boost::system::error_code failure; !failure;)
+            {
+                const auto [ended, size] = co_await asio::async_write(socket,
+                    asio::buffer(text), asio::as_tuple(asio::use_awaitable));
+                failure = ended;
+                sent += size;
+                text.assign(100'000, 'x');
+            }
+        });
+    std::vector<exchange_result> results;
+    const auto run = [&]() -> asio::awaitable<void> {
+        worker_connection connection(co_await asio::this_coro::executor,
+            server.get_worker().get_address(), bodies);
+        const auto request = make_request("a", false);
+        core::error reason;
+        co_await connection.connect(request.get_deadline(), reason);
+        auto result = co_await connection.exchange(request);
+        CHECK(bodies.get_used() <= budget);
+        results.push_back(std::move(result));
+        if (results.size() == connections)
+        {
+            context.stop();
+        }
+    };
+    for (int i = 0; i < connections; ++i)
+    {
+        asio::co_spawn(context, run(), asio::detached);
+    }
+    context.run();
+    const auto lost = std::count_if(
+        results.begin(), results.end(), [](const exchange_result& each) {
+            return each.get_result() == attempt_result::broken_after_send;
+        });
+    CHECK(lost >= connections - 1);
+    CHECK(sent < budget + connections * max_in_sockets);
+    results.clear();
+    CHECK(bodies.get_used() == 0);
+}
+
 // Guards against sending on a connection that already has an unread answer: it
 // would be read as the answer to the next request.
 TEST_CASE("a response before the request means not sent", "[upstream]")
