Refuse requests that become whole during a drain

Cause: the server passed on each request that was read to its end, also one whose body arrived seconds after the listener had closed; and a request that had waited for capacity was sent to a worker however little time was left.

Evidence: caller: "a request that becomes whole during a drain is refused" fails without the change: the handler gets the request.

Change: after begin_drain() such a request is answered with 503, not run, with a Retry-After of 100 ms, since another daemon can serve it. While draining, a request is not sent to a worker if more than one in ten answers take longer than the time left.

Result: the test passes. The time check has no test of its own.

--- a/src/caller/http_message.cpp
+++ b/src/caller/http_message.cpp
@@ -207,6 +207,13 @@
     return refusal(400, "malformed request: " + failure.message());
 }
 
+caller_answer stopping_answer()
+{
+    constexpr core::milliseconds retry_after{ 100 };
+    return caller_answer::without_body(
+        outcome::not_run(503, "daemon is stopping", retry_after));
+}
+
 caller_answer refusal(unsigned status, std::string reason)
 {
     return caller_answer::without_body(
--- a/src/caller/http_message.hpp
+++ b/src/caller/http_message.hpp
@@ -105,6 +105,9 @@
 /// The answer to a request that is refused before it is handled.
 caller_answer refusal(unsigned status, std::string reason);
 
+/// The answer of a daemon that is stopping; another one can serve the request.
+caller_answer stopping_answer();
+
 /// The dialect with pollenward's own header fields.
 struct default_dialect {
     template <class Router>
--- a/src/caller/http_server.hpp
+++ b/src/caller/http_server.hpp
@@ -122,6 +122,7 @@
     void begin_closing() { this->connections.begin_closing(); }
 
     /// Closes idle connections at once and the others after their next answer.
+    /// Requests that are not whole yet are refused.
     void begin_drain() { this->connections.begin_drain(); }
 
     /// Requests whose first byte was read and whose answer is not yet written.
@@ -290,6 +291,12 @@
             co_return co_await this->refuse_failed_read(
                 connection, incoming, failure);
         }
+        if (this->connections.is_draining())
+        {
+            // It might still run when the process is ended.
+            co_return co_await this->refuse(
+                connection, incoming, stopping_answer());
+        }
         auto body = core::shared_text::make(
             std::exchange(incoming.get().body(), {}), std::move(reserved));
         co_return co_await this->run(
--- a/src/main/entry_daemon.hpp
+++ b/src/main/entry_daemon.hpp
@@ -156,6 +156,8 @@
             [](const settings& now) { return now; });
         operators::write(operators::event::make("daemon.draining")
                              .with("in_flight", this->callers.in_flight()));
+        this->cut_at = core::runtime_clock::now() + times.get_drain_delay()
+            + times.get_drain_limit();
         this->view.begin_drain();
         this->callers.begin_closing();
         this->spawn(this->leave_fleet());
@@ -207,6 +209,13 @@
         boost::asio::awaitable<upstream::dispatch_result> dispatch(
             const upstream::forward_request& request)
         {
+            if (this->owner.would_be_cut(request))
+            {
+                co_return upstream::dispatch_result::failed(
+                    upstream::run_certainty::not_run,
+                    core::error::make(
+                        "send request", "self", "the daemon is stopping"));
+            }
             const in_use_counter counter(
                 this->owner.limits, request.get_service());
             auto result = co_await this->owner.dispatcher.dispatch(request);
@@ -244,6 +253,18 @@
             std::move(task), boost::asio::detached);
     }
 
+    /// Whether the daemon ends too soon for the request, which may have waited
+    /// for capacity since the drain began.
+    bool would_be_cut(const upstream::forward_request& request) const
+    {
+        // Share of the answers that may take longer than the time left.
+        constexpr double max_share_cut = 0.1;
+        const auto left = this->cut_at.load() - core::runtime_clock::now();
+        return this->view.is_draining()
+            && this->placement.profile(request.get_service()).survival(left)
+            > max_share_cut;
+    }
+
     /// Answers the remaining requests before the platform ends the process: a
     /// caller can use the outcome "unknown" better than a broken connection.
     boost::asio::awaitable<void> end_requests()
@@ -374,6 +395,8 @@
     }
 
     boost::asio::io_context& context;
+    /// When the requests that still run are cut.
+    std::atomic<core::time_point> cut_at{ core::time_point::max() };
     settings initial_settings;
     /// What reload() may replace.
     core::sharded_snapshot<settings> current_settings;
--- a/tests/caller/http_server_test.cpp
+++ b/tests/caller/http_server_test.cpp
@@ -330,6 +330,26 @@
     CHECK(has(first.read_until("/votes/hold"), "HTTP/1.1 200"));
 }
 
+// Guards against a planned stop that passes on a request which became whole
+// late in the grace, and is then cut while a worker runs it.
+TEST_CASE("a request that becomes whole during a drain is refused", "[caller]")
+{
+    server_test test;
+    caller_socket slow(test);
+    slow.send("POST /votes/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n"
+              "Expect: 100-continue\r\n\r\n");
+    CHECK(slow.read_until("\r\n\r\n").starts_with("HTTP/1.1 100"));
+    test.server.stop_accepting();
+    test.server.begin_drain();
+    slow.send("ab");
+    const auto answer = slow.read_until("\r\n\r\n");
+    CHECK(has(answer, "HTTP/1.1 503"));
+    CHECK(has(answer, "Request-Outcome: not-run"));
+    CHECK(has(answer, "Retry-After: "));
+    CHECK(has(answer, "Connection: close"));
+    CHECK(test.handler.started == 0);
+}
+
 // Guards against a shutdown that interrupts a request, that never ends, or
 // that cuts requests without counting them.
 TEST_CASE("a drain lets requests end and closes idle connections", "[caller]")
