--- a/src/main/daemon.hpp
+++ b/src/main/daemon.hpp
@@ -80,9 +80,9 @@
     claim_client peer_claims;
     claim_service claims;
     replicated_guard guard;
-    core::memory_budget bodies;
     evidence_aggregator aggregators;
     document_applier applier;
+    core::memory_budget bodies;
     worker_dispatcher dispatcher;
     guarded_dispatcher upstreams;
     service_limits limits;
