Buffer without a bound on hosts that do not state their memory

sysconf() returns -1 there, which became an undefined budget; found by reading the diff, not seen. The memory of the hosts at hand is known; no test covers this.

--- a/src/main/settings.cpp
+++ b/src/main/settings.cpp
@@ -21,10 +21,11 @@
     /// Time reserved for leaving the fleet and exiting after the last request.
     constexpr core::milliseconds exit_time{ 400 };
 
-    /// In bytes.
+    /// In bytes; 0 if it is not known.
     double memory_of_host()
     {
-        return static_cast<double>(::sysconf(_SC_PHYS_PAGES))
+        const auto pages = std::max(0L, ::sysconf(_SC_PHYS_PAGES));
+        return static_cast<double>(pages)
             * static_cast<double>(::sysconf(_SC_PAGESIZE));
     }
 
@@ -330,8 +331,9 @@
     const double granted = this->memory == 0
         ? memory_of_host()
         : bytes_per_megabyte * static_cast<double>(this->memory);
-    return core::memory_budget::make(
-        static_cast<std::size_t>(body_share * granted));
+    return granted == 0 ? core::memory_budget::unlimited()
+                        : core::memory_budget::make(
+                            static_cast<std::size_t>(body_share * granted));
 }
 
 std::optional<settings> settings::create(std::string_view text,
