Extend the soak to small hosts, changed timeouts and more kinds of callers

The soak played hosts with a whole core, no link, one set of route timeouts and callers that stop at Connection: close. Rule LOST was judged with deadlines that count from the first byte of a request.

New: daemons with a quota of processor time (--processor-share) and a link of their own to the callers (--link-mbps, 8 ms), hosts that slow down by 5.5, versions with longer and shorter timeouts, changed settings with and without SIGHUP; callers that send bodies in chunks, read answers late and in pieces, or send one more request behind an answer that closes the connection; workers that end a request at the deadline that they were given.

--- a/tests/soak/caller.hpp
+++ b/tests/soak/caller.hpp
@@ -5,13 +5,19 @@
 #include "soak/request_record.hpp"
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 
 #include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace pollenward::soak {
 
+using answer_parser
+    = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
 /// How a caller uses its connection.
 enum class caller_habit {
     /// One request after the other.
@@ -20,8 +26,16 @@
     pipelining,
     /// Sends the body of each request in two parts.
     slow_body,
+    /// The same, in chunks.
+    chunked_body,
+    /// Reads its answers late and in small pieces.
+    slow_reading,
+    /// Sends one more request on a connection that an answer has closed.
+    persistent,
 };
 
+std::string_view to_string(caller_habit habit);
+
 /// A kind of request.
 struct request_kind {
     std::string method;
@@ -56,6 +70,14 @@
     boost::asio::awaitable<bool> read_answers(connection& open);
     boost::asio::awaitable<void> use(connection& open, seconds end);
     std::string make_request(const std::string& id, std::size_t body) const;
+    /// The body as the caller sends it, with the fields of its framing.
+    std::string frame_body(std::size_t size) const;
+    /// Reads one answer into the parser; the error code if that fails.
+    boost::asio::awaitable<boost::system::error_code> read_answer(
+        connection& open, answer_parser& parser);
+    /// Sends a request behind an answer that closed the connection, and waits
+    /// for its end.
+    boost::asio::awaitable<void> use_closed(connection& open);
     void end_all(
         connection& open, request_record::ending how, const std::string& cause);
 
--- a/tests/soak/daemon_process.hpp
+++ b/tests/soak/daemon_process.hpp
@@ -31,11 +31,17 @@
 
     void start();
     void send_signal(int number);
+    /// Lets the process stand still, or go on unless SIGSTOP was sent to it.
+    void set_paused(bool is_paused);
+    /// Processor time that the running process has used.
+    seconds get_processor_time() const;
     /// Whether the process runs; collects one that has ended.
     bool is_running();
     /// Writes the settings; `size` cuts the file, as a writer does that is not
     /// done yet.
     void write_settings(std::size_t size = std::string::npos) const;
+    /// Draws new values of the settings that may change while it runs.
+    void change_settings(std::uint64_t seed);
 
     /// Count the requests that callers send to the process and see end.
     void add_sent_request()
@@ -54,6 +60,9 @@
     const std::string& get_name() const { return this->name; }
     const std::string& get_zone() const { return this->zone; }
     std::uint16_t get_caller_port() const { return this->caller_port; }
+    /// Where callers connect: the daemon itself, or a link in front of it.
+    std::uint16_t get_entry_port() const { return this->entry_port; }
+    void set_entry_port(std::uint16_t port) { this->entry_port = port; }
     std::uint16_t get_readiness_port() const { return this->readiness_port; }
     int get_incarnation() const { return this->incarnation; }
     const std::vector<sent_signal>& get_signals() const
@@ -77,6 +86,10 @@
     std::uint16_t caller_port;
     std::uint16_t readiness_port;
     std::uint16_t fleet_port;
+    std::uint16_t entry_port;
+    std::uint64_t settings_seed = 0;
+    bool is_paused = false;
+    bool is_frozen = false;
     pid_t pid = 0;
     int incarnation = 0;
     int exit_code = 0;
--- a/tests/soak/disruption_plan.hpp
+++ b/tests/soak/disruption_plan.hpp
@@ -51,6 +51,12 @@
     busy_stop,
     /// A stop with a short freeze just before the SIGTERM or during the drain.
     frozen_stop,
+    /// A version with other timeouts of all routes.
+    timeout_configuration,
+    /// Other settings in the file, with or without SIGHUP.
+    changed_settings,
+    /// A daemon gets still less processor time, if it is limited.
+    slow_host,
 };
 
 std::string_view to_string(disruption_kind kind);
--- a/tests/soak/http_endpoint.cpp
+++ b/tests/soak/http_endpoint.cpp
@@ -23,16 +23,15 @@
 
     constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 
-    /// Makes close() reset the connection.
-    void reset(tcp::socket& socket)
-    {
-        boost::system::error_code ignored;
-        socket.set_option(asio::socket_base::linger(true, 0), ignored);
-        socket.close(ignored);
-    }
-
 } // namespace
 
+void reset(tcp::socket& socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
 bool has_peer_closed(tcp::socket& socket)
 {
     char byte = 0;
--- a/tests/soak/http_endpoint.hpp
+++ b/tests/soak/http_endpoint.hpp
@@ -61,6 +61,9 @@
     std::set<socket_pointer> connections;
 };
 
+/// Closes a socket so that its peer sees a reset.
+void reset(tcp::socket& socket);
+
 /// Whether the peer has closed or reset the connection.
 bool has_peer_closed(tcp::socket& socket);
 
--- a/tests/soak/loss_check.hpp
+++ b/tests/soak/loss_check.hpp
@@ -48,6 +48,13 @@
     std::string detail;
 };
 
+/// A version of the configuration gives all routes this much of their usual
+/// timeouts.
+struct timeout_change {
+    seconds at{};
+    double factor = 1;
+};
+
 /// What a run has seen.
 struct run_evidence {
     std::vector<request_record> requests;
@@ -56,6 +63,8 @@
     const std::deque<daemon_process>& daemons;
     std::vector<disturbance> disturbances;
     std::vector<stall> stalls;
+    /// In the order of their times, from the first version on.
+    std::vector<timeout_change> timeouts;
 };
 
 /// What the checks have found.
