Wait at a stop as long as the newest timeout and the last byte allow

Callers of a daemon that stops got its own 504 while a worker was at work on the request.

Cause: the deadline of a request is set once, from its header and the configuration of that time.

Change: from SIGTERM on, a request in flight waits until stop_deadline(): the caller's own deadline or the timeout in force, counted from the last byte, and 100 ms more, in which a worker ends it by itself at the deadline that it was given. No send starts after the deadline of the request.

--- a/src/caller/caller_request.hpp
+++ b/src/caller/caller_request.hpp
@@ -34,6 +34,19 @@
     const operators::kind_settings& get_kind() const { return this->kind; }
     core::time_point get_deadline() const { return this->deadline; }
 
+    /// Nothing is known of it by default; the deadline holds then.
+    const upstream::caller_patience& get_patience() const
+    {
+        return this->patience;
+    }
+
+    caller_request with_patience(upstream::caller_patience changed) const
+    {
+        caller_request next = *this;
+        next.patience = changed;
+        return next;
+    }
+
     const upstream::request_message& get_message() const
     {
         return this->message;
@@ -47,6 +60,7 @@
     core::account_id account;
     operators::kind_settings kind;
     core::time_point deadline;
+    upstream::caller_patience patience;
     upstream::request_message message;
 };
 
--- a/src/caller/http_server.hpp
+++ b/src/caller/http_server.hpp
@@ -350,7 +350,8 @@
     {
         using namespace boost::asio::experimental::awaitable_operators;
         auto request
-            = head.with_message(Dialect::to_message(message, std::move(body)));
+            = head.with_message(Dialect::to_message(message, std::move(body)),
+                core::runtime_clock::now());
         const auto answer = co_await (this->handle(std::move(request))
             || connection.wait_for_peer_close());
         if (answer.index() != 0)
--- a/src/caller/request_head.hpp
+++ b/src/caller/request_head.hpp
@@ -29,11 +29,23 @@
     const operators::kind_settings& get_kind() const { return this->kind; }
     core::time_point get_deadline() const { return this->deadline; }
 
-    /// The complete request, once its message has been read.
-    caller_request with_message(upstream::request_message message) const
+    /// The complete request, whose message has been read by `now`.
+    caller_request with_message(
+        upstream::request_message message, core::time_point now) const
     {
         return caller_request::make(this->id, this->id_from_caller,
-            this->account, this->kind, this->deadline, std::move(message));
+            this->account, this->kind, this->deadline, std::move(message))
+            .with_patience(
+                upstream::caller_patience::make(now, this->caller_timeout));
+    }
+
+    /// The header of a caller that waits so long, whatever the timeout of its
+    /// kind.
+    request_head with_caller_timeout(core::milliseconds timeout) const
+    {
+        request_head next = *this;
+        next.caller_timeout = timeout;
+        return next;
     }
 
     auto operator<=>(const request_head&) const = default;
@@ -44,6 +56,7 @@
     core::account_id account;
     operators::kind_settings kind;
     core::time_point deadline;
+    core::milliseconds caller_timeout{};
 };
 
 } // namespace pollenward::caller
--- a/src/caller/request_pipeline.hpp
+++ b/src/caller/request_pipeline.hpp
@@ -145,7 +145,8 @@
             kind.get_service(), kind.get_id(), kind.get_rank(),
             kind.is_idempotent(), request.get_deadline(), request.get_message())
                                  .with_limits(kind.get_max_attempts(),
-                                     kind.get_target_latency());
+                                     kind.get_target_latency())
+                                 .with_patience(request.get_patience());
         state.sent_at = core::runtime_clock::now();
         const auto result = co_await this->upstreams.dispatch(forward);
         state.certainty = result.get_certainty();
--- a/src/main/configuration_in_force.cpp
+++ b/src/main/configuration_in_force.cpp
@@ -67,6 +67,18 @@
     });
 }
 
+std::optional<core::milliseconds> configuration_in_force::find_timeout(
+    const core::kind_id& id) const
+{
+    return this->current.read(
+        [&](const state& value) -> std::optional<core::milliseconds> {
+            const auto kind = value.configuration
+                ? value.configuration->find_kind(id)
+                : std::nullopt;
+            return kind ? std::optional(kind->get_timeout()) : std::nullopt;
+        });
+}
+
 operators::ingress_limits configuration_in_force::ingress() const
 {
     return this->current.read([](const state& value) {
--- a/src/main/configuration_in_force.hpp
+++ b/src/main/configuration_in_force.hpp
@@ -32,6 +32,9 @@
         std::string_view method, std::string_view path) const;
     std::optional<operators::kind_settings> find(std::string_view host,
         std::string_view method, std::string_view path) const;
+    /// The timeout of a kind of request, or nothing if it is not declared.
+    std::optional<core::milliseconds> find_timeout(
+        const core::kind_id& id) const;
     core::milliseconds max_timeout() const;
     operators::ingress_limits ingress() const;
 
--- a/src/main/entry_daemon.hpp
+++ b/src/main/entry_daemon.hpp
@@ -104,7 +104,7 @@
         , dispatcher(context.get_executor(), this->placement, this->guard,
               this->initial_settings.get_retry_limits(),
               this->initial_settings.get_placement_costs(),
-              { .bodies = this->bodies })
+              { .bodies = this->bodies }, this->configuration)
         , limits(this->placement)
         , gate(this->limits)
         , upstreams{ *this }
@@ -159,6 +159,7 @@
         this->cut_at = core::runtime_clock::now() + times.get_drain_delay()
             + times.get_drain_limit();
         this->view.begin_drain();
+        this->dispatcher.begin_stop();
         this->callers.begin_closing();
         this->spawn(this->leave_fleet());
         co_await core::wait_until(
@@ -201,7 +202,7 @@
     using gate_type = caller::admission_gate<entry_limits>;
     using dispatcher_type
         = upstream::placing_dispatcher<typename Platform::worker_codec,
-            guard_type>;
+            guard_type, configuration_in_force>;
 
     /// Counts the slots in use by each dispatch; a caller::dispatcher.
     struct counting_dispatcher {
--- a/src/upstream/forward_request.hpp
+++ b/src/upstream/forward_request.hpp
@@ -6,7 +6,9 @@
 #include "core/runtime_clock.hpp"
 #include "core/shared_text.hpp"
 #include "operators/kind_settings.hpp"
+#include "upstream/caller_patience.hpp"
 
+#include <algorithm>
 #include <compare>
 #include <string>
 #include <utility>
@@ -67,6 +69,21 @@
     core::time_point get_deadline() const { return this->deadline; }
     const request_message& get_message() const { return this->message; }
 
+    const caller_patience& get_patience() const { return this->patience; }
+    /// The latest time at which an answer is still of use: the deadline, unless
+    /// the caller waits longer.
+    core::time_point get_latest_end() const
+    {
+        return std::max(this->deadline, this->patience.get_end());
+    }
+
+    forward_request with_patience(caller_patience changed) const
+    {
+        forward_request next = *this;
+        next.patience = changed;
+        return next;
+    }
+
     /// Number of workers to which the request may be sent.
     int get_max_attempts() const { return this->max_attempts; }
     /// Time within which an answer has its full value for the caller; zero if
@@ -94,6 +111,7 @@
     core::rank rank = core::rank::background;
     bool idempotent = false;
     core::time_point deadline;
+    caller_patience patience;
     int max_attempts = operators::default_max_attempts;
     core::milliseconds target_latency{};
     request_message message;
--- a/src/upstream/placing_dispatcher.hpp
+++ b/src/upstream/placing_dispatcher.hpp
@@ -12,6 +12,7 @@
 #include "upstream/placement_state.hpp"
 #include "upstream/retry_allowance_registry.hpp"
 #include "upstream/send_plan.hpp"
+#include "upstream/stop_deadline.hpp"
 
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -56,17 +57,20 @@
 /// recent observations of the zone's daemons, and hedges idempotent requests
 /// whose answer is late. Each request must run on a strand; the dispatcher must
 /// outlive all of them.
-template <worker_codec Codec, crash_observer Crashes>
+template <worker_codec Codec, crash_observer Crashes,
+    timeout_source Timeouts = no_timeouts>
     requires load_codec<Codec>
 class placing_dispatcher {
 public:
     placing_dispatcher(boost::asio::any_io_executor executor,
         placement_state& placement, Crashes& crashes, retry_limits terms,
-        placement_costs costs = {}, dispatch_limits limits = {})
+        placement_costs costs = {}, dispatch_limits limits = {},
+        const Timeouts& timeouts = without_timeouts)
         : placement(placement)
         , crashes(crashes)
         , costs(costs)
         , limits(limits)
+        , timeouts(timeouts)
         , connections(std::move(executor), limits.max_idle_time, limits.bodies)
         , allowances(terms)
     {
@@ -99,6 +103,10 @@
         co_return this->conclude(*shared);
     }
 
+    /// From now on, requests in flight wait until their stop_deadline(): the
+    /// daemon that stops must not answer in place of a worker that is at work.
+    void begin_stop() { this->stopping = true; }
+
     /// Ends all requests at `time`, including those in flight; a send without
     /// an answer by then has an unknown outcome.
     void end_by(core::time_point time)
@@ -114,8 +122,11 @@
     core::time_point effective_deadline(
         const in_flight_request& in_flight) const
     {
-        return std::min(
-            in_flight.request.get_deadline(), this->shutdown_deadline.load());
+        const forward_request& request = in_flight.request;
+        const auto deadline = this->stopping
+            ? stop_deadline(request, this->timeouts)
+            : request.get_deadline();
+        return std::min(deadline, this->shutdown_deadline.load());
     }
 
     /// Processes the sends that have ended and starts the next one if it is
@@ -167,7 +178,8 @@
         const auto second_send_time = time_of_second_send(
             progress, this->placement.profile(in_flight.request.get_service()));
         const bool is_second_due = second_send_time && now >= *second_send_time;
-        if ((has_failed && may_repeat) || is_second_due)
+        const bool may_send = now < progress.deadline;
+        if (may_send && ((has_failed && may_repeat) || is_second_due))
         {
             this->start_send(shared, now);
         }
@@ -432,9 +444,11 @@
     Crashes& crashes;
     placement_costs costs;
     dispatch_limits limits;
+    const Timeouts& timeouts;
     connection_pool connections;
     retry_allowance_registry allowances;
     in_flight_table requests;
+    std::atomic<bool> stopping{ false };
     std::atomic<core::time_point> shutdown_deadline{ core::time_point::max() };
 };
 
--- a/src/upstream/worker_connection.cpp
+++ b/src/upstream/worker_connection.cpp
@@ -241,7 +241,7 @@
     this->written = 0;
     this->last_progress = core::runtime_clock::now();
     io_watchdog watchdog(this->socket, co_await asio::this_coro::executor);
-    watchdog.set_expiry(request.get_deadline());
+    watchdog.set_expiry(request.get_latest_end());
     const auto write_failure
         = co_await this->write(header, request.get_message().get_body());
     transfer_result result;
--- a/src/upstream/worker_connection.hpp
+++ b/src/upstream/worker_connection.hpp
@@ -81,10 +81,10 @@
         core::time_point deadline, core::error& reason);
 
     /// Sends the request and reads the whole response. When the caller cancels
-    /// or the deadline passes after the send, a cancel request is sent to the
-    /// worker. Only the deadline bounds the exchange. No operation is started
-    /// after a cancellation, so that the caller's coroutine may continue
-    /// without waiting.
+    /// or the latest end of the request passes after the send, a cancel request
+    /// is sent to the worker. Only that time bounds the exchange. No operation
+    /// is started after a cancellation, so that the caller's coroutine may
+    /// continue without waiting.
     template <worker_codec Codec = native_worker_codec>
     boost::asio::awaitable<exchange_result> exchange(
         const forward_request& request,
--- a/tests/upstream/placing_dispatcher_test.cpp
+++ b/tests/upstream/placing_dispatcher_test.cpp
@@ -1,5 +1,6 @@
 #include "upstream/placing_dispatcher.hpp"
 
+#include "one_timeout.hpp"
 #include "scripted_worker.hpp"
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -38,7 +39,8 @@
     std::atomic<int> crashes{ 0 };
 };
 
-using tested_dispatcher = placing_dispatcher<codec_without_load, crash_counter>;
+using tested_dispatcher
+    = placing_dispatcher<codec_without_load, crash_counter, one_timeout>;
 
 /// Workers that answer every request with `reply`; an empty reply closes the
 /// connection, "hang" leaves the request without an answer.
@@ -50,7 +52,7 @@
         : placement(zone_map::make(core::zone_id("zone"),
             { { core::zone_id("zone"), core::region_id("region") } }))
         , sender(context.get_executor(), placement, crashes,
-              retry_limits{ 1, 100, core::seconds(10) })
+              retry_limits{ 1, 100, core::seconds(10) }, {}, {}, timeouts)
     {
         std::vector<listed_worker> listed;
         for (int i = 0; i < workers; ++i)
@@ -74,6 +76,8 @@
                         }
                         if (text != "hang")
                         {
+                            co_await core::wait_until(
+                                core::runtime_clock::now() + this->work_time);
                             co_await send_text(socket, text);
                         }
                     }
@@ -88,6 +92,8 @@
 
     std::atomic<int> arrivals{ 0 };
     std::atomic<int> closed{ 0 };
+    core::milliseconds work_time{};
+    one_timeout timeouts;
     crash_counter crashes;
     placement_state placement;
     tested_dispatcher sender;
@@ -249,3 +255,75 @@
     CHECK_FALSE(result.get_response());
     CHECK(result.get_certainty() == run_certainty::unknown);
 }
+
+namespace {
+
+/// A request with a deadline of 100 ms whose caller waits for a second, sent to
+/// a worker that answers after 250 ms. The route's timeout has become
+/// `timeout`.
+dispatch_result dispatch_with_changed_timeout(
+    std::optional<core::milliseconds> timeout, bool is_stopping)
+{
+    asio::io_context context;
+    placed_fleet fleet(
+        context, 2, [](int, const std::string& id) { return answer_text(id); });
+    fleet.work_time = core::milliseconds(250);
+    fleet.timeouts.timeout = timeout;
+    const auto request = make_request("a", false, core::milliseconds(100))
+                             .with_patience(caller_patience::make(
+                                 core::runtime_clock::now(), core::seconds(1)));
+    if (is_stopping)
+    {
+        fleet.sender.begin_stop();
+    }
+    return dispatch_and_settle(context, fleet, request);
+}
+
+} // namespace
+
+// Guards against a daemon that answers in place of a worker during its stop,
+// although the configuration in force gives the request more time than the one
+// under which it arrived.
+TEST_CASE("A request at a stop gets the timeout of the configuration in force",
+    "[upstream]")
+{
+    const auto result
+        = dispatch_with_changed_timeout(core::milliseconds(900), true);
+    REQUIRE(result.get_response());
+    CHECK(result.get_response()->get_body() == "a");
+}
+
+TEST_CASE("A request at a stop keeps its deadline without a longer timeout",
+    "[upstream]")
+{
+    const auto timeout = GENERATE(std::optional<core::milliseconds>(),
+        std::optional(core::milliseconds(50)));
+    const auto result = dispatch_with_changed_timeout(timeout, true);
+    CHECK_FALSE(result.get_response());
+    CHECK(result.get_certainty() == run_certainty::unknown);
+}
+
+TEST_CASE(
+    "A longer timeout does not prolong a request before a stop", "[upstream]")
+{
+    CHECK_FALSE(dispatch_with_changed_timeout(core::milliseconds(900), false)
+                    .get_response());
+}
+
+// Guards against requests that are sent to one worker after the other when
+// their deadline has passed, since each such send counts as not sent.
+TEST_CASE(
+    "A request at a stop is sent to no worker after its deadline", "[upstream]")
+{
+    asio::io_context context;
+    placed_fleet fleet(
+        context, 3, [](int, const std::string&) { return "hang"; });
+    fleet.timeouts.timeout = core::milliseconds(300);
+    fleet.sender.begin_stop();
+    const auto request = make_request("a", true, core::milliseconds(100))
+                             .with_patience(caller_patience::make(
+                                 core::runtime_clock::now(), core::seconds(1)));
+    const auto result = dispatch_and_settle(context, fleet, request);
+    CHECK_FALSE(result.get_response());
+    CHECK(fleet.arrivals <= 2);
+}
