Follow the notices that workers give in their answers

Nothing read Server-Leaving and the Retry-After of a worker's 503, so a worker that leaves got requests until the store's list said so, and one that wants none for a time got them at once again.

- Server-Leaving: 1 on an answer of any kind: this daemon sends that run of the worker nothing new, whatever the list says, until the list has a later start (born) under its id.
A leave that is called off without a restart is not noticed.
- Retry-After on a 503: no first and no further send until it is over, an hour at most.
It is no evidence against the worker.
A text or a negative number has no effect, and is logged and counted.
- While all workers of a service pause, its requests are refused at once with the shortest pause as Retry-After.
Those that wait in the queue already stay there.
- Log lines worker.leaving, worker.pause, worker.pause_unreadable; metrics workers_said_leaving, worker_pauses, worker_pauses_unreadable.

--- a/src/caller/admission_decision.hpp
+++ b/src/caller/admission_decision.hpp
@@ -27,6 +27,20 @@
         return made;
     }
 
+    /// Refused until the workers accept requests again.
+    static admission_decision paused(core::duration retry_after)
+    {
+        admission_decision made = refused(admission_refusal::workers_pause);
+        made.retry_after = retry_after;
+        return made;
+    }
+
+    /// When the caller may try again, if that is known.
+    const std::optional<core::duration>& get_retry_after() const
+    {
+        return this->retry_after;
+    }
+
     const std::optional<admission_ticket>& get_ticket() const
     {
         return this->ticket;
@@ -40,6 +54,7 @@
 private:
     std::optional<admission_ticket> ticket;
     admission_refusal refusal = admission_refusal::queue_full;
+    std::optional<core::duration> retry_after;
 };
 
 } // namespace pollenward::caller
--- a/src/caller/admission_queue.hpp
+++ b/src/caller/admission_queue.hpp
@@ -22,7 +22,9 @@
     /// The deadline cannot be met, or passed while the request waited.
     deadline,
     /// The queue is full, or the request was displaced by another one.
-    queue_full
+    queue_full,
+    /// All workers of the service want no requests for a time.
+    workers_pause
 };
 
 /// The result of admission_queue::offer().
--- a/src/caller/pipeline_answers.cpp
+++ b/src/caller/pipeline_answers.cpp
@@ -1,5 +1,7 @@
 #include "caller/pipeline_answers.hpp"
 
+#include <chrono>
+#include <optional>
 #include <utility>
 
 namespace pollenward::caller {
@@ -10,19 +12,36 @@
     // compared with the time that a person waits.
     constexpr core::milliseconds retry_after{ 1000 };
 
-    caller_answer unavailable_answer(std::string reason)
+    caller_answer unavailable_answer(std::string reason,
+        std::optional<core::duration> known_retry_after = std::nullopt)
     {
         return caller_answer::without_body(
-            outcome::not_run(503, std::move(reason), retry_after));
+            outcome::not_run(503, std::move(reason),
+                known_retry_after
+                    ? std::chrono::ceil<core::milliseconds>(*known_retry_after)
+                    : retry_after));
+    }
+
+    const char* reason_of(admission_refusal refusal)
+    {
+        switch (refusal)
+        {
+        case admission_refusal::deadline:
+            return "deadline cannot be met";
+        case admission_refusal::queue_full:
+            return "too many requests are waiting";
+        case admission_refusal::workers_pause:
+            break;
+        }
+        return "all workers pause";
     }
 
 } // namespace
 
-caller_answer make_answer(admission_refusal refusal)
+caller_answer make_answer(const admission_decision& refused)
 {
-    return unavailable_answer(refusal == admission_refusal::deadline
-            ? "deadline cannot be met"
-            : "too many requests are waiting");
+    return unavailable_answer(
+        reason_of(refused.get_refusal()), refused.get_retry_after());
 }
 
 caller_answer make_answer(const claim_grant& grant)
@@ -48,7 +67,8 @@
     if (result.get_certainty() == upstream::run_certainty::not_run)
     {
         return is_late ? late_answer()
-                       : unavailable_answer("no worker accepted the request");
+                       : unavailable_answer("no worker accepted the request",
+                           result.get_retry_after());
     }
     return caller_answer::without_body(is_late
             ? outcome::unknown(504, "deadline passed after the send")
--- a/src/caller/pipeline_answers.hpp
+++ b/src/caller/pipeline_answers.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "caller/admission_queue.hpp"
+#include "caller/admission_decision.hpp"
 #include "caller/caller_answer.hpp"
 #include "caller/caller_request.hpp"
 #include "caller/claim_grant.hpp"
@@ -9,7 +9,7 @@
 namespace pollenward::caller {
 
 /// The answer to a request that was not admitted.
-caller_answer make_answer(admission_refusal refusal);
+caller_answer make_answer(const admission_decision& refused);
 
 /// The answer to a request whose claim does not allow it to be sent.
 caller_answer make_answer(const claim_grant& grant);
--- a/src/caller/request_pipeline.hpp
+++ b/src/caller/request_pipeline.hpp
@@ -117,7 +117,7 @@
         state.ticket = admitted.get_ticket();
         if (!state.ticket)
         {
-            co_return make_answer(admitted.get_refusal());
+            co_return make_answer(admitted);
         }
         if (!this->crash_guard.admits(request))
         {
--- a/src/main/entry_daemon.hpp
+++ b/src/main/entry_daemon.hpp
@@ -10,6 +10,7 @@
 #include "main/entry_limits.hpp"
 #include "main/entry_replicas.hpp"
 #include "main/entry_view.hpp"
+#include "main/pausing_gate.hpp"
 #include "main/replicated_guard.hpp"
 #include "main/settings.hpp"
 #include "main/stale_daemon_remover.hpp"
@@ -107,8 +108,9 @@
               { .bodies = this->bodies }, this->configuration)
         , limits(this->placement)
         , gate(this->limits)
+        , pauses(this->gate, this->placement)
         , upstreams{ *this }
-        , requests(this->gate, this->claims, this->guard, this->upstreams,
+        , requests(this->pauses, this->claims, this->guard, this->upstreams,
               this->metrics)
         , callers(context, this->configuration, this->requests, this->bodies)
         , view(this->configuration, this->placement, this->zone, this->metrics)
@@ -246,8 +248,8 @@
         core::service_id service;
     };
 
-    using pipeline_type = caller::request_pipeline<gate_type, no_claims,
-        guard_type, counting_dispatcher, operators::metrics>;
+    using pipeline_type = caller::request_pipeline<pausing_gate<gate_type>,
+        no_claims, guard_type, counting_dispatcher, operators::metrics>;
 
     void spawn(boost::asio::awaitable<void> task)
     {
@@ -414,6 +416,7 @@
     dispatcher_type dispatcher;
     entry_limits limits;
     gate_type gate;
+    pausing_gate<gate_type> pauses;
     no_claims claims;
     counting_dispatcher upstreams;
     pipeline_type requests;
--- a/src/main/entry_view.cpp
+++ b/src/main/entry_view.cpp
@@ -23,6 +23,12 @@
         "workers_listed", static_cast<double>(this->placement.count_listed()));
     this->registry.set(
         "daemons_listed", static_cast<double>(this->zone.members().size()));
+    const auto notices = this->placement.get_notices().count();
+    this->registry.set(
+        "workers_said_leaving", static_cast<double>(notices.leaving));
+    this->registry.set("worker_pauses", static_cast<double>(notices.pauses));
+    this->registry.set("worker_pauses_unreadable",
+        static_cast<double>(notices.unreadable_pauses));
     this->registry.set("log_lines_dropped",
         static_cast<double>(operators::event_log::instance().count_dropped()));
     return this->registry.snapshot();
--- a/src/upstream/dispatch_result.hpp
+++ b/src/upstream/dispatch_result.hpp
@@ -3,6 +3,7 @@
 #include "core/error.hpp"
 #include "core/header_field.hpp"
 #include "core/ids.hpp"
+#include "core/runtime_clock.hpp"
 #include "core/shared_text.hpp"
 #include "upstream/attempt_result.hpp"
 
@@ -64,6 +65,20 @@
         return made;
     }
 
+    /// A copy with the time after which a worker accepts requests again.
+    dispatch_result with_retry_after(std::optional<core::duration> time) const
+    {
+        dispatch_result next = *this;
+        next.retry_after = time;
+        return next;
+    }
+
+    /// Nothing if it is not known.
+    const std::optional<core::duration>& get_retry_after() const
+    {
+        return this->retry_after;
+    }
+
     run_certainty get_certainty() const { return this->certainty; }
     const core::error& get_cause() const { return this->cause; }
 
@@ -86,6 +101,7 @@
     run_certainty certainty = run_certainty::not_run;
     std::optional<response_message> response;
     core::error cause;
+    std::optional<core::duration> retry_after;
 };
 
 } // namespace pollenward::upstream
--- a/src/upstream/exchange_result.hpp
+++ b/src/upstream/exchange_result.hpp
@@ -55,6 +55,23 @@
         return this->rate_limit;
     }
 
+    /// A copy with what the worker said of itself: that it leaves, and for how
+    /// many seconds it wants no requests, not a number if that is unreadable.
+    exchange_result with_notices(
+        bool is_leaving, std::optional<double> pause_seconds) const
+    {
+        exchange_result next = *this;
+        next.leaving = is_leaving;
+        next.pause_seconds = pause_seconds;
+        return next;
+    }
+
+    bool is_leaving() const { return this->leaving; }
+    const std::optional<double>& get_pause_seconds() const
+    {
+        return this->pause_seconds;
+    }
+
     attempt_result get_result() const { return this->result; }
     const core::error& get_cause() const { return this->cause; }
 
@@ -75,6 +92,8 @@
     attempt_result result = attempt_result::not_sent;
     std::optional<response_message> response;
     std::optional<double> rate_limit;
+    bool leaving = false;
+    std::optional<double> pause_seconds;
     core::error cause;
 };
 
--- a/src/upstream/placement_state.cpp
+++ b/src/upstream/placement_state.cpp
@@ -57,6 +57,7 @@
         return by_service.count(service) == 0;
     });
     this->listed_count = listed.size();
+    this->notices.store_listed(listed, core::runtime_clock::now());
     const auto is_absent = [&](const core::worker_id& who, const auto&) {
         return present.count(who) == 0;
     };
@@ -76,6 +77,34 @@
     return this->listed.find(service).value_or(none);
 }
 
+bool placement_state::is_serving(const listed_worker& each) const
+{
+    const worker& who = each.get_worker();
+    return !who.is_leaving() && !this->excluded.find(who.get_id())
+        && !this->notices.is_leaving(each);
+}
+
+std::optional<core::duration> placement_state::shortest_pause(
+    const core::service_id& service, core::time_point now) const
+{
+    std::optional<core::duration> shortest;
+    const auto workers = this->find(service);
+    for (const listed_worker& each : *workers)
+    {
+        if (!this->is_serving(each))
+        {
+            continue;
+        }
+        const auto until = this->notices.find_pause(each, now);
+        if (!until)
+        {
+            return std::nullopt;
+        }
+        shortest = shortest ? std::min(*shortest, *until - now) : *until - now;
+    }
+    return shortest;
+}
+
 worker_traffic placement_state::traffic_of(
     const core::worker_id& who, core::time_point now) const
 {
@@ -100,11 +129,10 @@
     for (const listed_worker& each : *workers)
     {
         const worker& who = each.get_worker();
-        if (who.is_leaving()
+        if (!this->is_serving(each) || this->notices.find_pause(each, now)
             || std::binary_search(avoided.begin(), avoided.end(), who.get_id())
             || std::find(left_out.begin(), left_out.end(), who.get_id())
-                != left_out.end()
-            || this->excluded.find(who.get_id()))
+                != left_out.end())
         {
             continue;
         }
--- a/src/upstream/placement_state.hpp
+++ b/src/upstream/placement_state.hpp
@@ -8,6 +8,7 @@
 #include "upstream/latency_profile.hpp"
 #include "upstream/listed_worker.hpp"
 #include "upstream/path_failure_tracker.hpp"
+#include "upstream/worker_notices.hpp"
 #include "upstream/worker_placement.hpp"
 #include "upstream/worker_traffic.hpp"
 #include "upstream/zone_map.hpp"
@@ -72,6 +73,15 @@
     /// belongs to another worker, as long as it is listed.
     void exclude_worker(const core::worker_id& who);
 
+    /// What workers say of themselves in their answers.
+    worker_notices& get_notices() { return this->notices; }
+    const worker_notices& get_notices() const { return this->notices; }
+
+    /// The shortest pause of the workers that may get a request of the service
+    /// otherwise; nothing unless all of them pause.
+    std::optional<core::duration> shortest_pause(
+        const core::service_id& service, core::time_point now) const;
+
     /// This daemon's own sends, to be reported to the other daemons of the
     /// zone.
     std::vector<named_traffic> own_traffic(core::time_point now);
@@ -98,6 +108,8 @@
         const worker& target, double per_second, core::time_point now) const;
     /// Delays this daemon's next send to a worker with a limit.
     void pace_sends(const worker& target, core::time_point now);
+    /// Whether the worker is listed to get requests and does not leave.
+    bool is_serving(const listed_worker& each) const;
     worker_traffic traffic_of(
         const core::worker_id& who, core::time_point now) const;
 
@@ -114,6 +126,7 @@
     /// When this daemon may send to a worker with a limit again.
     core::sharded_map<core::worker_id, core::time_point> next_sends;
     path_failure_tracker paths;
+    worker_notices notices;
     std::atomic<bool> has_activity{ false };
 };
 
--- a/src/upstream/placing_dispatcher.hpp
+++ b/src/upstream/placing_dispatcher.hpp
@@ -13,6 +13,7 @@
 #include "upstream/retry_allowance_registry.hpp"
 #include "upstream/send_plan.hpp"
 #include "upstream/stop_deadline.hpp"
+#include "upstream/worker_pause.hpp"
 
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -327,6 +328,10 @@
         switch (result)
         {
         case attempt_result::answered:
+            if (ended.result->get_pause_seconds())
+            {
+                return std::nullopt;
+            }
             return is_failure(result, ended.result->get_status())
                 ? sample_state::failed
                 : sample_state::answered;
@@ -373,6 +378,10 @@
         {
             this->placement.exclude_worker(worker_id);
         }
+        else
+        {
+            this->record_notices(in_flight.request.get_id(), ended, now);
+        }
         if (result == attempt_result::refused_shed)
         {
             // A worker that sheds is full: all its slots are busy, and as many
@@ -406,6 +415,39 @@
                              .with("cause", ended.result->get_cause()));
     }
 
+    /// Records what the worker said of itself in its answer.
+    void record_notices(const core::request_id& request,
+        const request_send& ended, core::time_point now)
+    {
+        auto& notices = this->placement.get_notices();
+        const auto make_event = [&](const char* name) {
+            return operators::event::make(name)
+                .with("worker", ended.target.get_worker().get_id())
+                .with("request", request)
+                .with("source", "answer");
+        };
+        if (ended.result->is_leaving() && notices.record_leaving(ended.target))
+        {
+            operators::write(make_event("worker.leaving"));
+        }
+        const auto& stated = ended.result->get_pause_seconds();
+        if (!stated)
+        {
+            return;
+        }
+        const auto pause = bounded_pause(*stated);
+        if (!pause)
+        {
+            notices.count_unreadable_pause();
+            operators::write(make_event("worker.pause_unreadable"));
+            return;
+        }
+        notices.record_pause(ended.target, now + *pause);
+        operators::write(make_event("worker.pause")
+                             .with("ms", core::duration(*pause))
+                             .with("stated_s", *stated));
+    }
+
     /// Reports a crash only if the worker accepts no new connection, since a
     /// connection can break for other reasons.
     boost::asio::awaitable<void> check_crash(forward_request request,
@@ -435,9 +477,13 @@
                 each.cancel.emit(boost::asio::cancellation_type::terminal);
             }
         }
-        return in_flight.answer
-            ? dispatch_result::answered(*in_flight.answer)
-            : dispatch_result::failed(in_flight.certainty, in_flight.cause);
+        if (in_flight.answer)
+        {
+            return dispatch_result::answered(*in_flight.answer);
+        }
+        return dispatch_result::failed(in_flight.certainty, in_flight.cause)
+            .with_retry_after(this->placement.shortest_pause(
+                in_flight.request.get_service(), core::runtime_clock::now()));
     }
 
     placement_state& placement;
--- a/tests/adapter/worker_codec_test.cpp
+++ b/tests/adapter/worker_codec_test.cpp
@@ -5,6 +5,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <cmath>
+#include <optional>
+#include <vector>
+
 using namespace pollenward;
 using adapter::worker_codec;
 using upstream::attempt_result;
@@ -160,3 +164,62 @@
     CHECK_FALSE(
         worker_codec::load_of(upstream::response_message::make(200, {}, {})));
 }
+
+namespace {
+
+/// The answers of every kind that a worker can send.
+std::vector<upstream::worker_response> make_all_kinds()
+{
+    auto refusal = make_response(503, nullptr);
+    refusal.set("Not-Executed", "1");
+    auto unsigned_answer = make_response(200, "id-1");
+    unsigned_answer.erase("Server-Signature");
+    return { make_response(200, "id-1"), make_response(500, "id-1"),
+        make_response(504, "id-1"), make_response(200, "another"), refusal,
+        unsigned_answer };
+}
+
+std::optional<double> pause_of(unsigned status, const char* text)
+{
+    auto response = make_response(status, "id-1");
+    response.set("Retry-After", text);
+    return worker_codec::decode_response(
+        response, core::request_id("id-1"), core::endpoint())
+        .get_pause_seconds();
+}
+
+} // namespace
+
+// Guards against requests to a worker that says in a refusal or a failure that
+// it leaves.
+TEST_CASE("every answer of a worker can say that it leaves", "[adapter]")
+{
+    for (auto& each : make_all_kinds())
+    {
+        const auto is_leaving = [&] {
+            return worker_codec::decode_response(
+                each, core::request_id("id-1"), core::endpoint())
+                .is_leaving();
+        };
+        CHECK_FALSE(is_leaving());
+        each.set("Server-Leaving", "0");
+        CHECK_FALSE(is_leaving());
+        each.set("Server-Leaving", "1");
+        CHECK(is_leaving());
+    }
+}
+
+// Guards against requests to a worker that wants none for a time.
+TEST_CASE("a refusal states the seconds of a pause", "[adapter]")
+{
+    CHECK(pause_of(503, "2.5") == 2.5);
+    CHECK(pause_of(503, "-1") == -1.0);
+    CHECK(std::isnan(pause_of(503, "soon").value()));
+    CHECK(std::isnan(pause_of(503, "2s").value()));
+    CHECK(std::isnan(pause_of(503, "").value()));
+    CHECK_FALSE(pause_of(500, "2.5"));
+    CHECK_FALSE(pause_of(200, "2.5"));
+    CHECK_FALSE(worker_codec::decode_response(
+        make_response(503, "id-1"), core::request_id("id-1"), core::endpoint())
+                    .get_pause_seconds());
+}
