Check late sends to workers that leave or pause in the soak

The soak's workers can say in their answers that they leave, without telling the store, and refuse with Retry-After. Requests of a daemon that reach such a worker too late break the run.

--- a/tests/soak/disruption_plan.hpp
+++ b/tests/soak/disruption_plan.hpp
@@ -57,6 +57,11 @@
     changed_settings,
     /// A daemon gets still less processor time, if it is limited.
     slow_host,
+    /// A worker says in its answers that it leaves, and starts anew later. The
+    /// store's list does not show it.
+    worker_leaving,
+    /// A worker refuses all requests for a time and says for how long.
+    worker_pausing,
 };
 
 std::string_view to_string(disruption_kind kind);
--- a/tests/soak/disruptor.cpp
+++ b/tests/soak/disruptor.cpp
@@ -191,6 +191,10 @@
             daemon.send_signal(SIGHUP);
         }
         co_return;
+    case disruption_kind::worker_leaving:
+        co_return co_await worker.leave(duration);
+    case disruption_kind::worker_pausing:
+        co_return worker.pause(duration);
     case disruption_kind::slow_host:
         co_return co_await this->slow_down(daemon, duration);
     }
--- a/tests/soak/platform_worker.cpp
+++ b/tests/soak/platform_worker.cpp
@@ -56,7 +56,9 @@
             { "Address", this->endpoint.get_address() }, { "Zone", this->zone },
             { "Version", "v1" }, { "Slots", slots }, { "State", state },
             { "WarmupLeftS", 0 }, { "Sequence", 4 },
-            { "born", 1764928800000ULL } });
+            { "born",
+                1764928800000ULL
+                    + static_cast<std::uint64_t>(this->starts) } });
 }
 
 void platform_worker::remove_from_list()
@@ -151,8 +153,43 @@
     return made;
 }
 
+asio::awaitable<void> platform_worker::leave(seconds time)
+{
+    this->leaving = true;
+    co_await sleep_for(time);
+    this->crash(seconds(0.1));
+    ++this->starts;
+    this->leaving = false;
+    this->list("ready");
+}
+
+void platform_worker::pause(seconds time)
+{
+    this->paused_until = now() + time;
+}
+
 asio::awaitable<std::optional<http_response>> platform_worker::answer(
     const http_request& received, tcp::socket& peer)
+{
+    const std::size_t index = this->arrivals.size();
+    this->arrivals.push_back(
+        { std::string(received["Request-Id"]), this->id, now(), this->starts });
+    auto reply = co_await this->make_reply(received, peer);
+    if (reply && this->leaving)
+    {
+        this->arrivals[index].said_leaving = true;
+        reply->set("Server-Leaving", "1");
+    }
+    if (reply && reply->count(http::field::retry_after) > 0)
+    {
+        this->arrivals[index].stated_pause = seconds(
+            std::stod(std::string((*reply)[http::field::retry_after])));
+    }
+    co_return reply;
+}
+
+asio::awaitable<std::optional<http_response>> platform_worker::make_reply(
+    const http_request& received, tcp::socket& peer)
 {
     if (received.target() == "/health")
     {
@@ -170,6 +207,13 @@
     {
         co_return refused(http::status::misdirected_request);
     }
+    if (now() < this->paused_until)
+    {
+        auto paused = refused(http::status::service_unavailable);
+        paused.set(http::field::retry_after,
+            std::to_string((this->paused_until - now()).count()));
+        co_return paused;
+    }
     if (this->running >= slots && this->waiting >= queue_length)
     {
         co_return refused(http::status::service_unavailable);
--- a/tests/soak/platform_worker.hpp
+++ b/tests/soak/platform_worker.hpp
@@ -30,6 +30,17 @@
     losing,
 };
 
+/// A request that reached a worker, and what the worker said with its answer.
+struct arrival {
+    std::string request;
+    std::string worker;
+    seconds at{};
+    /// Start of the worker that it reached.
+    int start = 0;
+    bool said_leaving = false;
+    seconds stated_pause{};
+};
+
 /// A stand-in of a worker of the users' platform. It drops a request when its
 /// connection closes.
 class platform_worker {
@@ -46,6 +57,12 @@
     void remove_from_list();
     /// Resets all connections; the worker is back after `down`.
     void crash(seconds down);
+    /// Says in all answers that it leaves, and starts anew after `time`.
+    boost::asio::awaitable<void> leave(seconds time);
+    /// Refuses all requests for `time`, and says so.
+    void pause(seconds time);
+
+    const std::vector<arrival>& get_arrivals() const { return this->arrivals; }
 
 private:
     boost::asio::awaitable<std::optional<http_response>> answer(
@@ -57,6 +74,9 @@
     /// Whether the request is of the part that the mode affects.
     bool is_affected(worker_mode by);
     http_response make_answer(const std::string& request);
+    /// Answers as `endpoint` needs it; answer() adds what the worker says.
+    boost::asio::awaitable<std::optional<http_response>> make_reply(
+        const http_request& received, tcp::socket& peer);
 
     boost::asio::io_context& context;
     platform_store& store;
@@ -72,6 +92,11 @@
     int crashes = 0;
     std::string last_answered;
     std::vector<run_record> runs;
+    std::vector<arrival> arrivals;
+    /// Counts the worker's starts; part of its entry in the list.
+    int starts = 0;
+    bool leaving = false;
+    seconds paused_until{};
     http_endpoint endpoint;
 };
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -3,6 +3,7 @@
 #include "soak/disruptor.hpp"
 #include "soak/loss_check.hpp"
 #include "soak/narrow_link.hpp"
+#include "soak/notice_check.hpp"
 #include "soak/processor_limit.hpp"
 
 #include <CLI/CLI.hpp>
@@ -250,6 +251,23 @@
         {
             std::cout << "ENDED " << each << '\n';
         }
+        std::vector<arrival> arrivals;
+        for (const platform_worker& worker : this->workers)
+        {
+            arrivals.insert(arrivals.end(), worker.get_arrivals().begin(),
+                worker.get_arrivals().end());
+        }
+        const auto late = find_late_sends(seen, arrivals, notice_bounds{});
+        for (const std::string& each : late)
+        {
+            std::cout << each << '\n';
+        }
+        std::size_t notices = 0;
+        for (const arrival& each : arrivals)
+        {
+            notices
+                += each.said_leaving || each.stated_pause > seconds{} ? 1 : 0;
+        }
         seconds longest{};
         for (const stall& each : this->stalls)
         {
@@ -260,13 +278,14 @@
         {
             starts += static_cast<std::size_t>(each.get_incarnation());
         }
-        const std::size_t broken = found.violations.size()
+        const std::size_t broken = found.violations.size() + late.size()
             + this->disruptions.get_overdue().size()
             + this->disruptions.get_own_ends().size();
         std::cout << "seed " << this->chosen.seed << ": requests "
                   << seen.requests.size() << ", answered by workers "
                   << answered << ", by daemons " << own << ", closed " << closed
-                  << ", starts " << starts << ", excused losses:" << excused
+                  << ", starts " << starts << ", notices " << notices
+                  << ", excused losses:" << excused
                   << ", longest stall of the soak " << longest.count()
                   << " s, broken " << broken << std::endl;
         return broken;
