--- a/src/main/daemon.cpp
+++ b/src/main/daemon.cpp
@@ -106,6 +106,7 @@
         = this->current_settings.read([](const settings& now) { return now; });
     const auto close_at = core::runtime_clock::now() + times.get_drain_delay();
     this->view.begin_drain();
+    this->callers.begin_closing();
     co_await core::wait_until(close_at);
     this->callers.stop_accepting();
     this->callers.begin_drain();
