--- a/tests/soak/disruption_plan.cpp
+++ b/tests/soak/disruption_plan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <numeric>
 #include <random>
 
 namespace pollenward::soak {
@@ -178,4 +179,26 @@
     return plan.take();
 }
 
+std::vector<disruption> plan_notices(
+    std::uint64_t seed, std::size_t workers, seconds begin, seconds end)
+{
+    constexpr seconds notice_time{ 6 };
+    std::mt19937_64 random(seed);
+    std::vector<disruption> plan{ disruption::make(
+        disruption_kind::store_silent, begin, 0, end - begin, 0) };
+    std::vector<std::size_t> order(workers);
+    std::iota(order.begin(), order.end(), std::size_t(0));
+    std::shuffle(order.begin(), order.end(), random);
+    const seconds gap = (end - begin) / static_cast<double>(workers / 2 + 1);
+    for (std::size_t i = 0; i < workers / 2; ++i)
+    {
+        plan.push_back(
+            disruption::make(i % 2 == 0 ? disruption_kind::worker_leaving
+                                        : disruption_kind::worker_pausing,
+                begin + gap * static_cast<double>(i + 1), order[i], notice_time,
+                random()));
+    }
+    return plan;
+}
+
 } // namespace pollenward::soak
--- a/tests/soak/disruption_plan.hpp
+++ b/tests/soak/disruption_plan.hpp
@@ -104,4 +104,8 @@
 std::vector<disruption> draw_disruptions(std::uint64_t seed,
     std::size_t daemons, std::size_t workers, seconds begin, seconds end);
 
+/// Half of the workers leave or pause in turn while the store is silent.
+std::vector<disruption> plan_notices(
+    std::uint64_t seed, std::size_t workers, seconds begin, seconds end);
+
 } // namespace pollenward::soak
--- a/tests/soak/notice_check.cpp
+++ b/tests/soak/notice_check.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
+#include <set>
 #include <tuple>
 
 namespace pollenward::soak {
@@ -16,7 +18,7 @@
         const arrival* reached = nullptr;
     };
 
-    bool was_frozen(const run_evidence& seen, const std::string& daemon,
+    bool was_disturbed(const run_evidence& seen, const std::string& daemon,
         seconds from, seconds to)
     {
         return std::any_of(seen.disturbances.begin(), seen.disturbances.end(),
@@ -35,6 +37,61 @@
             + std::to_string(since.count());
     }
 
+    /// The requests of one path that were sent too long after its first notice
+    /// that the worker leaves.
+    void add_late_to_leaving(const run_evidence& seen,
+        const std::vector<sent_request>& sends, const notice_bounds& bounds,
+        std::vector<std::string>& found)
+    {
+        std::optional<seconds> told_at;
+        for (const sent_request& each : sends)
+        {
+            // Only an answer of the worker is passed on with its notice.
+            if (each.reached->said_leaving && each.record->has_signature())
+            {
+                const seconds at = each.record->get_ended_at();
+                told_at = told_at ? std::min(*told_at, at) : at;
+            }
+        }
+        for (const sent_request& each : sends)
+        {
+            if (told_at && each.record->get_sent_at() > *told_at + bounds.drain
+                && !was_disturbed(seen, each.record->get_daemon(), *told_at,
+                    each.reached->at))
+            {
+                found.push_back(describe("DRAIN", each, *told_at));
+            }
+        }
+    }
+
+    /// The requests of one path beyond the allowed ones in each pause, once.
+    void add_late_in_pauses(const run_evidence& seen,
+        const std::vector<sent_request>& sends, const notice_bounds& bounds,
+        std::vector<std::string>& found)
+    {
+        std::set<std::string> late;
+        for (const sent_request& told : sends)
+        {
+            const seconds from = told.reached->at;
+            const seconds to = from + told.reached->stated_pause;
+            std::size_t count = 0;
+            for (const sent_request& each : sends)
+            {
+                const seconds at = each.reached->at;
+                const bool is_counted = at > from + bounds.pause_slack
+                    && at < to
+                    && !was_disturbed(
+                        seen, each.record->get_daemon(), from, at);
+                count += is_counted ? 1 : 0;
+                if (is_counted && count > bounds.paused_requests
+                    && late.insert(each.record->get_id()).second)
+                {
+                    found.push_back(describe("BUDGET", each, from));
+                }
+            }
+        }
+    }
+
 } // namespace
 
 std::vector<std::string> find_late_sends(const run_evidence& seen,
@@ -60,35 +117,8 @@
     std::vector<std::string> found;
     for (const auto& [from, sends] : paths)
     {
-        for (const sent_request& told : sends)
-        {
-            const seconds passed_on = told.record->get_ended_at();
-            const seconds pause_begin = told.reached->at;
-            const seconds pause_end = pause_begin + told.reached->stated_pause;
-            std::size_t in_pause = 0;
-            for (const sent_request& each : sends)
-            {
-                const bool is_excused = was_frozen(
-                    seen, std::get<0>(from), pause_begin, each.reached->at);
-                if (is_excused)
-                {
-                    continue;
-                }
-                if (told.reached->said_leaving && told.record->has_signature()
-                    && each.record->get_sent_at() > passed_on + bounds.drain)
-                {
-                    found.push_back(describe("DRAIN", each, passed_on));
-                }
-                const bool is_in_pause
-                    = each.reached->at > pause_begin + bounds.pause_slack
-                    && each.reached->at < pause_end;
-                in_pause += is_in_pause ? 1 : 0;
-                if (is_in_pause && in_pause > bounds.paused_requests)
-                {
-                    found.push_back(describe("BUDGET", each, pause_begin));
-                }
-            }
-        }
+        add_late_to_leaving(seen, sends, bounds, found);
+        add_late_in_pauses(seen, sends, bounds, found);
     }
     return found;
 }
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -34,6 +34,7 @@
     double length_s = 20;
     double processor_share = 1;
     double link_mbps = 0;
+    bool has_only_notices = false;
 };
 
 void print(const violation& each)
@@ -191,8 +192,12 @@
         }
         const seconds begin = now();
         const seconds end = begin + seconds(this->chosen.length_s);
-        auto plan = draw_disruptions(this->chosen.seed, this->daemons.size(),
-            this->workers.size(), begin + seconds(1), end - seconds(7));
+        const seconds first = begin + seconds(1);
+        const seconds last = end - seconds(7);
+        auto plan = this->chosen.has_only_notices
+            ? plan_notices(this->chosen.seed, this->workers.size(), first, last)
+            : draw_disruptions(this->chosen.seed, this->daemons.size(),
+                this->workers.size(), first, last);
         std::erase_if(plan, [&](const disruption& each) {
             const auto& only = this->chosen.only;
             return !only.empty()
@@ -323,6 +328,8 @@
         "of a core, for each daemon");
     app.add_option("--link-mbps", chosen.link_mbps,
         "link between the callers and each daemon; 0 for none");
+    app.add_flag("--only-notices", chosen.has_only_notices,
+        "half of the workers leave or pause while the store is silent");
     app.add_option("--only", chosen.only, "kinds of disruption to keep");
     CLI11_PARSE(app, argc, argv);
     try
