--- a/src/upstream/placing_dispatcher.hpp
+++ b/src/upstream/placing_dispatcher.hpp
@@ -10,10 +10,10 @@
 #include "upstream/forward_request.hpp"
 #include "upstream/in_flight_request.hpp"
 #include "upstream/placement_state.hpp"
+#include "upstream/record_notices.hpp"
 #include "upstream/retry_allowance_registry.hpp"
 #include "upstream/send_plan.hpp"
 #include "upstream/stop_deadline.hpp"
-#include "upstream/worker_pause.hpp"
 
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -380,7 +380,8 @@
         }
         else
         {
-            this->record_notices(in_flight.request.get_id(), ended, now);
+            record_notices(this->placement.get_notices(),
+                in_flight.request.get_id(), ended.target, *ended.result, now);
         }
         if (result == attempt_result::refused_shed)
         {
@@ -415,39 +416,6 @@
                              .with("cause", ended.result->get_cause()));
     }
 
-    /// Records what the worker said of itself in its answer.
-    void record_notices(const core::request_id& request,
-        const request_send& ended, core::time_point now)
-    {
-        auto& notices = this->placement.get_notices();
-        const auto make_event = [&](const char* name) {
-            return operators::event::make(name)
-                .with("worker", ended.target.get_worker().get_id())
-                .with("request", request)
-                .with("source", "answer");
-        };
-        if (ended.result->is_leaving() && notices.record_leaving(ended.target))
-        {
-            operators::write(make_event("worker.leaving"));
-        }
-        const auto& stated = ended.result->get_pause_seconds();
-        if (!stated)
-        {
-            return;
-        }
-        const auto pause = bounded_pause(*stated);
-        if (!pause)
-        {
-            notices.count_unreadable_pause();
-            operators::write(make_event("worker.pause_unreadable"));
-            return;
-        }
-        notices.record_pause(ended.target, now + *pause);
-        operators::write(make_event("worker.pause")
-                             .with("ms", core::duration(*pause))
-                             .with("stated_s", *stated));
-    }
-
     /// Reports a crash only if the worker accepts no new connection, since a
     /// connection can break for other reasons.
     boost::asio::awaitable<void> check_crash(forward_request request,
