End the reading of configurations when a drain begins

A daemon that drained outlived its grace and was ended by SIGKILL, which breaks off whatever runs then.

Cause: until the end of its drain a daemon went on reading configurations from the store and from its peers, in the one thread that serves callers.

Change: when the listener closes, no further request needs a new version or a new list of workers. The watches of the store and the exchanges of its state stop then, and requests of other daemons are refused, so that they ask the next one.

--- a/src/main/entry_daemon.hpp
+++ b/src/main/entry_daemon.hpp
@@ -168,16 +168,13 @@
             core::runtime_clock::now() + times.get_drain_delay());
         this->callers.stop_accepting();
         this->callers.begin_drain();
+        this->end_intake();
         const bool is_idle
             = co_await this->callers.wait_until_idle(this->cut_at.load());
         if (!is_idle)
         {
             co_await this->end_requests();
         }
-        this->configuration_watch.stop();
-        this->worker_watch.stop();
-        this->store_state.stop();
-        this->guard.stop();
         // The sockets of the fleet close with the process: closing them here
         // blocks the loop, and a process that hangs in it is killed.
         operators::write(operators::event::make("daemon.drained"));
@@ -269,6 +266,18 @@
             > max_share_cut;
     }
 
+    /// Stops reading configurations and workers, which no further request
+    /// needs. On a host with little processor time, a large configuration takes
+    /// longer than the rest of the drain.
+    void end_intake()
+    {
+        this->has_ended_intake = true;
+        this->configuration_watch.stop();
+        this->worker_watch.stop();
+        this->store_state.stop();
+        this->guard.stop();
+    }
+
     /// Answers the remaining requests before the platform ends the process: a
     /// caller can use the outcome "unknown" better than a broken connection.
     boost::asio::awaitable<void> end_requests()
@@ -289,6 +298,11 @@
 
     boost::asio::awaitable<fleet::message> answer(fleet::message received)
     {
+        if (this->has_ended_intake)
+        {
+            co_return fleet::message(
+                fleet::receipt::failed("the daemon is stopping"));
+        }
         if (const auto* state = std::get_if<fleet::store_state>(&received))
         {
             co_return fleet::message(this->store_state.answer(*state));
@@ -402,6 +416,8 @@
     boost::asio::io_context& context;
     /// When the requests that still run are cut.
     std::atomic<core::time_point> cut_at{ core::time_point::max() };
+    /// Set by end_intake(); requests of other daemons are refused then.
+    std::atomic<bool> has_ended_intake{ false };
     settings initial_settings;
     /// What reload() may replace.
     core::sharded_snapshot<settings> current_settings;
