--- a/tests/soak/disruptor.cpp
+++ b/tests/soak/disruptor.cpp
@@ -94,6 +94,10 @@
     daemon_process& daemon, seconds duration)
 {
     constexpr double factor = 5.5;
+    if (!this->processors.is_limiting())
+    {
+        co_return;
+    }
     const seconds from = now();
     this->processors.set_slowdown(daemon.get_name(), factor);
     co_await sleep_for(duration);
--- a/tests/soak/processor_limit.cpp
+++ b/tests/soak/processor_limit.cpp
@@ -12,7 +12,7 @@
 
 void processor_limit::start()
 {
-    if (this->share >= 1)
+    if (!this->is_limiting())
     {
         return;
     }
--- a/tests/soak/processor_limit.hpp
+++ b/tests/soak/processor_limit.hpp
@@ -25,6 +25,7 @@
 
     /// Limits the daemons from now on, if their share is below a whole core.
     void start();
+    bool is_limiting() const { return this->share < 1; }
 
     /// Divides the share of one daemon.
     void set_slowdown(const std::string& daemon, double factor)
