--- a/src/upstream/worker_notices.hpp
+++ b/src/upstream/worker_notices.hpp
@@ -109,7 +109,7 @@
     void change(const listed_worker& who, Change apply);
 
     core::sharded_map<core::worker_id, worker_notice> notices;
-    /// False if there are none, which saves the lookups of most requests.
+    /// False until the first one, which saves the lookups until then.
     std::atomic<bool> has_any{ false };
     std::atomic<std::uint64_t> leaving{ 0 };
     std::atomic<std::uint64_t> pauses{ 0 };
