--- a/tests/main/pausing_gate_test.cpp
+++ b/tests/main/pausing_gate_test.cpp
@@ -65,7 +65,8 @@
     const auto admit = [&] {
         boost::asio::io_context context;
         std::optional<caller::admission_decision> decision;
-        boost::asio::co_spawn(context, tested.admit(make_request()),
+        const auto request = make_request();
+        boost::asio::co_spawn(context, tested.admit(request),
             [&](const std::exception_ptr& failure,
                 caller::admission_decision ended) {
                 CHECK_FALSE(failure);
