--- a/src/main/settings.hpp
+++ b/src/main/settings.hpp
@@ -36,6 +36,15 @@
     /// read and merge for the others.
     std::uint64_t get_capacity() const { return this->capacity; }
 
+    /// The same settings with what the process may use, in MB; 0 for the memory
+    /// of the host.
+    settings with_memory(std::uint64_t megabytes) const
+    {
+        settings next = *this;
+        next.memory = megabytes;
+        return next;
+    }
+
     /// Bounds the bodies of requests and responses in memory: a share of the
     /// memory that the host grants.
     core::memory_budget make_body_budget() const;
