Log why the connection of a whole request ends without its answer

Change: callers.request_unanswered with the request, whether the connection was kept, the step and the cause. What is done is the same.

--- a/src/caller/caller_connection.cpp
+++ b/src/caller/caller_connection.cpp
@@ -32,10 +32,12 @@
         this->buffer.prepare(read_chunk_bytes),
         asio::as_tuple(asio::use_awaitable));
     this->buffer.commit(count);
+    this->read_failure = failure;
     co_return count;
 }
 
-asio::awaitable<void> caller_connection::wait_for_peer_close()
+asio::awaitable<boost::system::error_code>
+caller_connection::wait_for_peer_close()
 {
     std::size_t count = 1;
     while (count > 0)
@@ -46,6 +48,7 @@
         }
         count = co_await this->read_some();
     }
+    co_return this->read_failure;
 }
 
 asio::awaitable<void> caller_connection::lingering_close()
--- a/src/caller/caller_connection.hpp
+++ b/src/caller/caller_connection.hpp
@@ -3,6 +3,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/system/error_code.hpp>
 
 #include <cstddef>
 
@@ -20,9 +21,10 @@
     /// Waits for bytes and reads them. Returns 0 if the connection ended.
     boost::asio::awaitable<std::size_t> read_some();
 
-    /// Returns when the caller has closed its side. Bytes that arrive before
-    /// that belong to the next request and stay in the buffer.
-    boost::asio::awaitable<void> wait_for_peer_close();
+    /// Returns when the caller has closed its side, with the end of the stream
+    /// or the failure that was read. Bytes that arrive before that belong to
+    /// the next request and stay in the buffer.
+    boost::asio::awaitable<boost::system::error_code> wait_for_peer_close();
 
     /// Shuts down the sending side and reads until the caller has closed its
     /// side. An immediate close with unread bytes would make the kernel reset
@@ -41,6 +43,12 @@
     boost::beast::flat_buffer buffer;
     /// True while the server waits for the next request.
     bool is_idle = false;
+    /// Whether a request was answered on the connection.
+    bool has_answered = false;
+
+private:
+    /// What the last read ended with.
+    boost::system::error_code read_failure;
 };
 
 } // namespace pollenward::caller
--- a/src/caller/http_server.hpp
+++ b/src/caller/http_server.hpp
@@ -356,10 +356,12 @@
             || connection.wait_for_peer_close());
         if (answer.index() != 0)
         {
+            log_unanswered(
+                connection, head.get_id(), "wait", std::get<1>(answer));
             connection.close();
             co_return false;
         }
-        co_return co_await this->write(connection,
+        co_return co_await this->write(connection, head.get_id(),
             Dialect::to_response(std::get<0>(answer), message, head.get_id()),
             message.keep_alive());
     }
@@ -401,13 +403,25 @@
                 .with("target", to_view(message.target()))
                 .with("status", answer.get_outcome().get_status())
                 .with("reason", answer.get_outcome().get_reason()));
-        co_return co_await this->write(connection,
-            Dialect::to_response(answer, message, id_for_answer(message)),
-            false);
+        const auto id = id_for_answer(message);
+        co_return co_await this->write(
+            connection, id, Dialect::to_response(answer, message, id), false);
+    }
+
+    /// Reports that the connection of a whole request ends without its answer.
+    static void log_unanswered(const caller_connection& connection,
+        const core::request_id& id, const char* step,
+        boost::system::error_code cause)
+    {
+        operators::write(operators::event::make("callers.request_unanswered")
+                             .with("request", id)
+                             .with("kept", connection.has_answered)
+                             .with("step", step)
+                             .with("cause", cause.message()));
     }
 
     boost::asio::awaitable<bool> write(caller_connection& connection,
-        http_response outgoing, bool is_keep_alive)
+        core::request_id id, http_response outgoing, bool is_keep_alive)
     {
         const bool is_kept = is_keep_alive && !this->connections.is_draining()
             && !this->connections.is_closing();
@@ -417,8 +431,10 @@
                 connection.socket, outgoing, as_result()));
         if (failure)
         {
+            log_unanswered(connection, id, "write", failure);
             connection.close();
         }
+        connection.has_answered = true;
         co_return !failure && is_kept;
     }
 
