Answer callers that only ended their sending side

Cause: the end of the caller's stream was taken for its departure. A closed socket and one whose sending side has ended look the same to the reader.

Change: at the end of the stream the server sends 100 Continue, which a caller skips (RFC 9110, 15.2). The kernel of a closed socket answers it with a reset, and the request is cancelled as before; without a reset the caller still reads, and gets its answer. A caller of HTTP/1.0 knows no interim responses: the end of its stream counts as before. Asio reports the end of a stream once, so it is kept.

--- a/src/caller/caller_connection.cpp
+++ b/src/caller/caller_connection.cpp
@@ -5,6 +5,11 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <memory>
+#include <string_view>
 #include <utility>
 
 namespace pollenward::caller {
@@ -14,6 +19,8 @@
 namespace {
 
     constexpr std::size_t read_chunk_bytes = 4096;
+    /// In which a closed peer answers with a reset.
+    constexpr core::milliseconds reset_time{ 250 };
 
 } // namespace
 
@@ -26,6 +33,11 @@
 
 asio::awaitable<std::size_t> caller_connection::read_some()
 {
+    // The reactor reports the end of a stream only once.
+    if (this->read_failure == asio::error::eof)
+    {
+        co_return 0;
+    }
     // No other suspension point between the read and the commit: a cancelled
     // coroutine must not lose bytes that were read.
     const auto [failure, count] = co_await this->socket.async_read_some(
@@ -51,6 +63,49 @@
     co_return this->read_failure;
 }
 
+asio::awaitable<boost::system::error_code> caller_connection::wait_for_reset()
+{
+    constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    const auto sent = ::send(this->socket.native_handle(), interim.data(),
+        interim.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    // Without room in the buffer, what is sent already shows a reset.
+    const bool is_partial
+        = sent > 0 && static_cast<std::size_t>(sent) < interim.size();
+    if (is_partial || (sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK))
+    {
+        co_return asio::error::connection_reset;
+    }
+    const auto failure_timer = std::make_shared<core::runtime_timer>(
+        this->socket.get_executor(), core::runtime_clock::now() + reset_time);
+    bool is_over = false;
+    this->socket.async_wait(asio::socket_base::wait_error,
+        [failure_timer](const boost::system::error_code& cancelled) {
+            if (!cancelled)
+            {
+                failure_timer->cancel();
+            }
+        });
+    while (!is_over)
+    {
+        const auto [ended_early] = co_await failure_timer->async_wait(
+            asio::as_tuple(asio::use_awaitable));
+        is_over = ended_early || this->has_failed();
+        failure_timer->expires_at(core::time_point::max());
+    }
+    // A cancelled coroutine does not cancel a wait for a failure (Boost 1.81).
+    boost::system::error_code ignored;
+    this->socket.cancel(ignored);
+    co_return asio::error::connection_reset;
+}
+
+bool caller_connection::has_failed()
+{
+    char byte = 0;
+    const auto count = ::recv(
+        this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && errno != EAGAIN && errno != EWOULDBLOCK;
+}
+
 asio::awaitable<void> caller_connection::lingering_close()
 {
     boost::system::error_code ignored;
--- a/src/caller/caller_connection.hpp
+++ b/src/caller/caller_connection.hpp
@@ -26,6 +26,12 @@
     /// the next request and stay in the buffer.
     boost::asio::awaitable<boost::system::error_code> wait_for_peer_close();
 
+    /// Returns when a caller whose stream has ended does not read any more,
+    /// with the failure. A closed socket and one that only ended its sending
+    /// side look the same until something is sent: an interim response, which
+    /// the kernel of a closed one answers with a reset (RFC 9110, 15.2).
+    boost::asio::awaitable<boost::system::error_code> wait_for_reset();
+
     /// Shuts down the sending side and reads until the caller has closed its
     /// side. An immediate close with unread bytes would make the kernel reset
     /// the connection, and the caller could lose the last response.
@@ -47,6 +53,8 @@
     bool has_answered = false;
 
 private:
+    bool has_failed();
+
     /// What the last read ended with.
     boost::system::error_code read_failure;
 };
--- a/src/caller/http_server.hpp
+++ b/src/caller/http_server.hpp
@@ -353,7 +353,7 @@
             = head.with_message(Dialect::to_message(message, std::move(body)),
                 core::runtime_clock::now());
         const auto answer = co_await (this->handle(std::move(request))
-            || connection.wait_for_peer_close());
+            || wait_until_gone(connection, message.version()));
         if (answer.index() != 0)
         {
             log_unanswered(
@@ -366,6 +366,21 @@
             message.keep_alive());
     }
 
+    /// Returns why the caller does not read its answer any more. A caller of
+    /// HTTP/1.0 knows no interim responses: the end of its stream counts.
+    static boost::asio::awaitable<boost::system::error_code> wait_until_gone(
+        caller_connection& connection, unsigned version)
+    {
+        constexpr unsigned first_with_interim_responses = 11;
+        const auto ended = co_await connection.wait_for_peer_close();
+        if (ended != boost::asio::error::eof
+            || version < first_with_interim_responses)
+        {
+            co_return ended;
+        }
+        co_return co_await connection.wait_for_reset();
+    }
+
     boost::asio::awaitable<caller_answer> handle(caller_request request)
     {
         try
--- a/tests/caller/http_server_test.cpp
+++ b/tests/caller/http_server_test.cpp
@@ -114,7 +114,60 @@
     caller_socket caller(test);
     caller.send(get("/votes/hold"));
     test.handler.wait_for([&] { return test.handler.started == 1; });
-    caller.socket.close();
+    SECTION("at once")
+    {
+        caller.socket.close();
+    }
+    SECTION("after its sending side")
+    {
+        caller.socket.shutdown(asio::socket_base::shutdown_send);
+        caller.read_until("\r\n\r\n");
+        caller.socket.set_option(asio::socket_base::linger(true, 0));
+        caller.socket.close();
+    }
+    test.handler.wait_for([&] { return test.handler.cancelled == 1; });
+}
+
+// Guards against a caller that ends its sending side after its request and is
+// taken for one that has left: a worker runs the request and nobody is
+// answered.
+TEST_CASE("a caller that only ended its sending side is answered", "[caller]")
+{
+    server_test test;
+    caller_socket caller(test);
+    caller.send(get("/votes/1"));
+    caller.read_until("/votes/1");
+    SECTION("one request")
+    {
+        caller.send(get("/votes/hold"));
+    }
+    SECTION("pipelined requests")
+    {
+        caller.send(get("/votes/hold") + get("/votes/2"));
+    }
+    test.handler.wait_for([&] { return bool(test.handler.release); });
+    caller.socket.shutdown(asio::socket_base::shutdown_send);
+    // RFC 9110, 15.2: a caller skips interim responses.
+    CHECK(caller.read_until("\r\n\r\n") == "HTTP/1.1 100 Continue\r\n\r\n");
+    test.advance(core::seconds(1));
+    test.handler.release();
+    const auto rest = caller.read_all();
+    CHECK(has(rest, "HTTP/1.1 200"));
+    CHECK(has(rest, "/votes/hold"));
+    CHECK(has(rest, "/votes/2") == (test.handler.started == 3));
+    CHECK(test.handler.cancelled == 0);
+}
+
+// Guards against an interim response to a caller of HTTP/1.0, which would take
+// it for the answer.
+TEST_CASE("a caller of HTTP/1.0 that ends its side has left", "[caller]")
+{
+    server_test test;
+    caller_socket caller(test);
+    caller.send("GET /votes/hold HTTP/1.0\r\n\r\n");
+    test.handler.wait_for([&] { return test.handler.started == 1; });
+    caller.socket.shutdown(asio::socket_base::shutdown_send);
+    CHECK(caller.read_all().empty());
     test.handler.wait_for([&] { return test.handler.cancelled == 1; });
 }
 
