--- a/tests/process/child_process.hpp
+++ b/tests/process/child_process.hpp
@@ -21,6 +21,7 @@
     ~child_process();
 
     void send_signal(int signal) const;
+    pid_t get_pid() const { return this->pid; }
 
     /// Waits for the process to end. Returns its exit code, or 128 + the number
     /// of the signal that ended it.
--- a/tests/soak/http_endpoint.cpp
+++ b/tests/soak/http_endpoint.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -119,13 +120,16 @@
             reset(*socket);
             break;
         }
-        http_request received;
+        http::request_parser<http::string_body> parser;
+        // The default limit of a request is 1 MB.
+        parser.body_limit(boost::none);
         const auto [unread, count]
-            = co_await http::async_read(*socket, buffer, received, as_result);
+            = co_await http::async_read(*socket, buffer, parser, as_result);
         if (unread)
         {
             break;
         }
+        const http_request received = parser.release();
         auto answer = co_await this->handle(received, *socket);
         if (!answer)
         {
