--- a/tests/hostile/hostile_site.cpp
+++ b/tests/hostile/hostile_site.cpp
@@ -22,7 +22,7 @@
 
 namespace {
 
-    constexpr std::size_t ordinary_body = 8 * 1024;
+    constexpr std::size_t ordinary_body = 8192;
     constexpr int slow_slots = 1000;
     /// How often the state of the daemon and the crowd is looked at.
     constexpr soak::seconds check_interval{ 0.02 };
