Judge closed connections in touch at every moment in the soak

Cause: rule LOST counts a request that was passed on from a connection that a machine in touch then closes. A machine is in touch again 4 s after its SIGTERM, while its drain lasts up to 6 s, and 4 s after a freeze. The soak excused such closings: by the last sixth of the grace, or by a disturbance that was over.

Change: a closing without SIGTERM, kill, freeze or slow-down in the 4 s before is the finding "closed in touch", whether the request was kept or not. Only a worker that broke off or a deadline that was reached excuses it. An answer of the daemon in place of the worker's has the former exceptions: it closes nothing.

--- a/tests/soak/loss_check.cpp
+++ b/tests/soak/loss_check.cpp
@@ -42,6 +42,12 @@
             this->timeout_factor = this->find_timeout_factor(seen.timeouts);
             for (const disturbance& each : seen.disturbances)
             {
+                if (each.daemon == request.get_daemon()
+                    && each.from <= request.get_ended_at()
+                    && each.to + bounds.stable_window >= request.get_ended_at())
+                {
+                    this->disturbed_at_end = true;
+                }
                 if (each.daemon == request.get_daemon()
                     && each.from <= request.get_ended_at()
                     && each.to + bounds.stable_window >= request.get_sent_at()
@@ -67,6 +73,10 @@
             {
                 return this->make("REFUSED", "a worker ran it");
             }
+            if (this->is_lost_in_touch())
+            {
+                return this->make("LOST", "closed in touch");
+            }
             if (const auto stop = this->find_stop())
             {
                 return this->find_at_stop(*stop);
@@ -90,6 +100,10 @@
             {
                 return "deadline";
             }
+            if (this->is_lost_in_touch())
+            {
+                return std::nullopt;
+            }
             const auto stop = this->find_stop();
             if (stop && this->is_excused_at_stop(*stop))
             {
@@ -215,6 +229,29 @@
             return std::nullopt;
         }
 
+        /// Passed on and closed by a daemon in touch, kept or not.
+        bool is_lost_in_touch() const
+        {
+            return this->is_closed() && this->is_in_touch()
+                && !this->runs.empty();
+        }
+
+        /// Whether the daemon was in touch when the request ended: no SIGTERM,
+        /// kill, freeze or slow-down in the stable window before. A drain lasts
+        /// longer than the window, so this holds for its end too.
+        bool is_in_touch() const
+        {
+            const seconds ended_at = this->request.get_ended_at();
+            const seconds from = ended_at - this->bounds.stable_window;
+            const auto& signals = this->daemon->get_signals();
+            const bool is_stopped = std::any_of(
+                signals.begin(), signals.end(), [&](const sent_signal& each) {
+                    return each.number != SIGHUP && each.at >= from
+                        && each.at <= ended_at;
+                });
+            return !is_stopped && !this->disturbed_at_end;
+        }
+
         bool has_reload() const
         {
             const auto& signals = this->daemon->get_signals();
@@ -279,6 +316,8 @@
         double timeout_factor = 1;
         /// The cause of the disturbance; a kill explains any loss.
         std::optional<std::string> disturbed_by;
+        /// In the stable window before the request ended.
+        bool disturbed_at_end = false;
     };
 
 } // namespace
