--- a/tests/soak/caller.cpp
+++ b/tests/soak/caller.cpp
@@ -43,8 +43,9 @@
 
 std::string_view to_string(caller_habit habit)
 {
-    constexpr std::array<std::string_view, 6> names{ "kept", "pipelining",
-        "slow_body", "chunked_body", "slow_reading", "persistent" };
+    constexpr std::array<std::string_view, 7> names{ "kept", "pipelining",
+        "slow_body", "chunked_body", "slow_reading", "persistent",
+        "half_closing" };
     return names.at(static_cast<std::size_t>(habit));
 }
 
@@ -59,6 +60,7 @@
     daemon_process* daemon = nullptr;
     int incarnation = 0;
     bool has_been_used = false;
+    bool has_ended_sending = false;
     /// Sent and not answered yet.
     std::deque<request_record> unanswered;
 };
@@ -169,8 +171,9 @@
 void caller::end_all(
     connection& open, request_record::ending how, const std::string& cause)
 {
-    const std::string detail
-        = cause + ", caller " + std::string(to_string(this->habit));
+    const std::string detail = cause + ", caller "
+        + std::string(to_string(this->habit))
+        + (open.has_ended_sending ? ", sending side ended" : "");
     for (const request_record& each : open.unanswered)
     {
         this->records.push_back(each.with_end(how, 0, false, detail, now()));
@@ -243,6 +246,12 @@
             co_return false;
         }
         const auto& answer = parser.get();
+        if (open.has_ended_sending
+            && http::to_status_class(answer.result())
+                == http::status_class::informational)
+        {
+            continue;
+        }
         constexpr std::size_t most_shown = 100;
         const request_record& sent = open.unanswered.front();
         const bool is_mixed = http::to_status_class(answer.result())
@@ -269,6 +278,17 @@
     co_return true;
 }
 
+void caller::end_sending(connection& open)
+{
+    constexpr double ending_part = 0.4;
+    if (std::bernoulli_distribution(ending_part)(this->random))
+    {
+        boost::system::error_code ignored;
+        open.socket.shutdown(asio::socket_base::shutdown_send, ignored);
+        open.has_ended_sending = true;
+    }
+}
+
 asio::awaitable<void> caller::use(connection& open, seconds end)
 {
     std::exponential_distribution<double> pause(2.0);
@@ -282,7 +302,12 @@
         {
             is_open = co_await this->send(open);
         }
-        is_open = co_await this->read_answers(open) && is_open;
+        if (is_open && this->habit == caller_habit::half_closing)
+        {
+            this->end_sending(open);
+        }
+        is_open = co_await this->read_answers(open) && is_open
+            && !open.has_ended_sending;
         if (is_open)
         {
             co_await sleep_for(seconds(pause(this->random)));
--- a/tests/soak/caller.hpp
+++ b/tests/soak/caller.hpp
@@ -32,6 +32,9 @@
     slow_reading,
     /// Sends one more request on a connection that an answer has closed.
     persistent,
+    /// Keeps its connection for some requests and shuts down its sending side
+    /// after the last.
+    half_closing,
 };
 
 std::string_view to_string(caller_habit habit);
@@ -78,6 +81,8 @@
     /// Sends a request behind an answer that closed the connection, and waits
     /// for its end.
     boost::asio::awaitable<void> use_closed(connection& open);
+    /// Ends the sending side behind a part of the requests.
+    void end_sending(connection& open);
     void end_all(
         connection& open, request_record::ending how, const std::string& cause);
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -156,6 +156,13 @@
                 zones[i / 6 % zones.size()], kind, rare[i % rare.size()],
                 this->chosen.seed * 104729 + i);
         }
+        for (std::size_t i = 0; i < this->chosen.callers / 30; ++i)
+        {
+            const auto& kind = i % 2 == 0 ? pledge : read;
+            this->callers.emplace_back(*this->entry, this->sizes,
+                zones[i % zones.size()], kind, caller_habit::half_closing,
+                this->chosen.seed * 15485863 + i);
+        }
     }
 
     /// Measures how long the loop that plays callers and workers was held up.
