Show the exit status and the log of processes that end by themselves in the soak

The soak named its exit code without the log. It missed ends with status 0 between the choice of a daemon to stop and its SIGTERM, and ends beside a SIGKILL; a SIGTERM during the start had no limit at all.

Change: each end whose status none of the run's signals to that process explains is a finding, with the status and the last ten lines of the log. The stop during the start is held to the grace like the others.

--- a/tests/soak/daemon_process.cpp
+++ b/tests/soak/daemon_process.cpp
@@ -9,6 +9,7 @@
 #include <time.h>
 #include <unistd.h>
 
+#include <deque>
 #include <filesystem>
 #include <fstream>
 #include <random>
@@ -155,6 +156,26 @@
                     : seconds{};
 }
 
+std::string daemon_process::read_end_of_log(std::size_t lines) const
+{
+    std::ifstream log(this->folder + "/" + this->name + ".log");
+    std::deque<std::string> last;
+    for (std::string line; std::getline(log, line);)
+    {
+        last.push_back(std::move(line));
+        if (last.size() > lines)
+        {
+            last.pop_front();
+        }
+    }
+    std::string text;
+    for (const std::string& line : last)
+    {
+        text += line + '\n';
+    }
+    return text;
+}
+
 bool daemon_process::is_running()
 {
     constexpr int signal_base = 128;
--- a/tests/soak/daemon_process.hpp
+++ b/tests/soak/daemon_process.hpp
@@ -74,6 +74,8 @@
     const std::map<int, seconds>& get_ends() const { return this->ends; }
     /// Exit code of the last process, or 128 + the signal that ended it.
     int get_exit_code() const { return this->exit_code; }
+    /// The last lines of the log, of all incarnations.
+    std::string read_end_of_log(std::size_t lines) const;
 
 private:
     std::string render_settings() const;
--- a/tests/soak/disruptor.cpp
+++ b/tests/soak/disruptor.cpp
@@ -266,7 +266,6 @@
 asio::awaitable<void> disruptor::stop(
     daemon_process& daemon, disruption planned)
 {
-    constexpr seconds check_interval{ 0.05 };
     std::mt19937_64 random(planned.get_seed() + 1);
     if (!daemon.is_running()
         || !this->restarting.insert(daemon.get_name()).second)
@@ -275,12 +274,9 @@
     }
     if (planned.get_kind() == disruption_kind::early_stop)
     {
+        const seconds stopped_early_at = now();
         daemon.send_signal(SIGTERM);
-        while (daemon.is_running())
-        {
-            co_await sleep_for(check_interval);
-        }
-        this->check_end(daemon, true);
+        co_await this->wait_for_end(daemon, stopped_early_at);
         daemon.start();
         co_await sleep_for(planned.get_duration());
     }
@@ -300,6 +296,18 @@
         asio::co_spawn(this->context,
             this->repeat_signal(daemon, incarnation, planned), asio::detached);
     }
+    co_await this->wait_for_end(daemon, stopped_at);
+    std::uniform_real_distribution<double> pause(0.05, 1.0);
+    co_await sleep_for(seconds(pause(random)));
+    daemon.start();
+    this->restarting.erase(daemon.get_name());
+}
+
+asio::awaitable<void> disruptor::wait_for_end(
+    daemon_process& daemon, seconds stopped_at)
+{
+    constexpr seconds check_interval{ 0.05 };
+    const int incarnation = daemon.get_incarnation();
     while (daemon.is_running() && now() < stopped_at + grace)
     {
         co_await sleep_for(check_interval);
@@ -323,45 +331,42 @@
             co_await sleep_for(check_interval);
         }
     }
-    else
-    {
-        this->check_end(daemon, true);
-    }
-    std::uniform_real_distribution<double> pause(0.05, 1.0);
-    co_await sleep_for(seconds(pause(random)));
-    daemon.start();
-    this->restarting.erase(daemon.get_name());
+    this->check_end(daemon);
 }
 
-void disruptor::check_end(const daemon_process& daemon, bool is_stopped)
+void disruptor::check_end(const daemon_process& daemon)
 {
     // Until main() runs, SIGHUP and SIGTERM end the process by default.
     constexpr seconds before_main{ 0.05 };
     constexpr int signal_base = 128;
+    constexpr std::size_t shown_lines = 10;
     const int code = daemon.get_exit_code();
     const auto& signals = daemon.get_signals();
-    const bool is_too_early = std::any_of(
-        signals.begin(), signals.end(), [&](const sent_signal& each) {
-            return code == signal_base + each.number
-                && each.incarnation == daemon.get_incarnation()
-                && each.at < daemon.get_started_at() + before_main;
-        });
-    if ((code != 0 || !is_stopped) && !is_too_early)
+    const auto is_cause = [&](const sent_signal& each) {
+        const bool is_early = each.at < daemon.get_started_at() + before_main;
+        return each.incarnation == daemon.get_incarnation()
+            && ((code == 0 && each.number == SIGTERM)
+                || (code == signal_base + each.number
+                    && (each.number == SIGKILL || is_early)));
+    };
+    if (std::any_of(signals.begin(), signals.end(), is_cause))
+    {
+        return;
+    }
+    std::string what = daemon.get_name() + '#'
+        + std::to_string(daemon.get_incarnation()) + " exit status "
+        + std::to_string(code) + ", started at "
+        + std::to_string(daemon.get_started_at().count());
+    for (const sent_signal& each : signals)
     {
-        std::string what = daemon.get_name() + '#'
-            + std::to_string(daemon.get_incarnation()) + " exit code "
-            + std::to_string(code) + ", started at "
-            + std::to_string(daemon.get_started_at().count());
-        for (const sent_signal& each : signals)
+        if (each.incarnation == daemon.get_incarnation())
         {
-            if (each.incarnation == daemon.get_incarnation())
-            {
-                what += ", signal " + std::to_string(each.number) + " at "
-                    + std::to_string(each.at.count());
-            }
+            what += ", signal " + std::to_string(each.number) + " at "
+                + std::to_string(each.at.count());
         }
-        this->own_ends.push_back(std::move(what));
     }
+    this->own_ends.push_back(
+        what + "; end of its log:\n" + daemon.read_end_of_log(shown_lines));
 }
 
 asio::awaitable<void> disruptor::kill(daemon_process& daemon, seconds down)
@@ -378,6 +383,7 @@
     {
         co_await sleep_for(seconds(0.02));
     }
+    this->check_end(daemon);
     daemon.start();
     this->disturbances.push_back({ daemon.get_name(), "kill", from, now() });
     this->restarting.erase(daemon.get_name());
@@ -456,7 +462,7 @@
             if (this->restarting.count(each.get_name()) == 0
                 && !each.is_running())
             {
-                this->check_end(each, false);
+                this->check_end(each);
                 each.start();
             }
         }
--- a/tests/soak/disruptor.hpp
+++ b/tests/soak/disruptor.hpp
@@ -54,7 +54,7 @@
     {
         return this->overdue;
     }
-    /// Processes that ended without a signal of the run.
+    /// Processes that ended by themselves, or failed at a stop.
     const std::vector<std::string>& get_own_ends() const
     {
         return this->own_ends;
@@ -66,8 +66,13 @@
         daemon_process& daemon, disruption planned);
     boost::asio::awaitable<void> repeat_signal(
         daemon_process& daemon, int incarnation, disruption planned);
-    /// Notes a process that ended by itself, or failed at a stop.
-    void check_end(const daemon_process& daemon, bool is_stopped);
+    /// Waits until the stopped process has ended. One that outlives its grace
+    /// is noted and killed.
+    boost::asio::awaitable<void> wait_for_end(
+        daemon_process& daemon, seconds stopped_at);
+    /// Notes a process whose exit status no signal of the run explains, with
+    /// the end of its log.
+    void check_end(const daemon_process& daemon);
     boost::asio::awaitable<void> kill(daemon_process& daemon, seconds down);
     /// Returns soon after the next request was sent to the daemon.
     boost::asio::awaitable<void> wait_for_request(
