--- a/tests/soak/disruption_plan.cpp
+++ b/tests/soak/disruption_plan.cpp
@@ -9,14 +9,14 @@
 
 namespace {
 
-    constexpr std::array<std::string_view, 28> names{ "stop", "repeated_stop",
+    constexpr std::array<std::string_view, 29> names{ "stop", "repeated_stop",
         "early_stop", "reload", "torn_settings", "configuration",
         "large_configuration", "store_slow", "store_refusing", "store_silent",
         "worker_crash", "worker_slow", "worker_hang", "worker_release", "kill",
         "freeze", "worker_forgetful", "worker_late_answer", "worker_failing",
         "worker_losing", "large_bodies", "busy_stop", "frozen_stop",
         "timeout_configuration", "changed_settings", "slow_host",
-        "worker_leaving", "worker_pausing" };
+        "worker_leaving", "worker_pausing", "worker_closing_idle" };
 
     class plan_builder {
     public:
@@ -176,6 +176,7 @@
     plan.add_some(kind::slow_host, 0.4, 3, daemons, 4);
     plan.add_some(kind::worker_leaving, 0.5, 6, workers, 6);
     plan.add_some(kind::worker_pausing, 0.5, 6, workers, 6);
+    plan.add_some(kind::worker_closing_idle, 0.5, 12, workers, 8);
     return plan.take();
 }
 
--- a/tests/soak/disruption_plan.hpp
+++ b/tests/soak/disruption_plan.hpp
@@ -62,6 +62,8 @@
     worker_leaving,
     /// A worker refuses all requests for a time and says for how long.
     worker_pausing,
+    /// A worker closes connections that are idle, in an orderly way.
+    worker_closing_idle,
 };
 
 std::string_view to_string(disruption_kind kind);
--- a/tests/soak/disruptor.cpp
+++ b/tests/soak/disruptor.cpp
@@ -174,6 +174,9 @@
     case disruption_kind::worker_forgetful:
         co_return co_await this->disturb_worker(
             worker, worker_mode::forgetful, duration);
+    case disruption_kind::worker_closing_idle:
+        co_return co_await this->disturb_worker(
+            worker, worker_mode::closing_idle, duration);
     case disruption_kind::worker_late_answer:
         co_return co_await this->disturb_worker(
             worker, worker_mode::late_answer, duration);
--- a/tests/soak/http_endpoint.cpp
+++ b/tests/soak/http_endpoint.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
@@ -18,6 +19,7 @@
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
+using namespace asio::experimental::awaitable_operators;
 
 namespace {
 
@@ -102,6 +104,19 @@
     }
 }
 
+asio::awaitable<bool> http_endpoint::wait_for_bytes(socket_pointer socket)
+{
+    if (this->idle_close == seconds::max())
+    {
+        co_await socket->async_wait(tcp::socket::wait_read, as_result);
+        co_return true;
+    }
+    const auto waited
+        = co_await (socket->async_wait(tcp::socket::wait_read, as_result)
+            || sleep_for(this->idle_close));
+    co_return waited.index() == 0;
+}
+
 asio::awaitable<void> http_endpoint::serve(socket_pointer socket)
 {
     boost::system::error_code failure;
@@ -112,7 +127,12 @@
         const seconds idle_since = now();
         if (buffer.size() == 0)
         {
-            co_await socket->async_wait(tcp::socket::wait_read, as_result);
+            const bool is_in_time = co_await this->wait_for_bytes(socket);
+            if (!is_in_time)
+            {
+                socket->close(failure);
+                break;
+            }
         }
         if (now() - idle_since > this->idle_limit)
         {
--- a/tests/soak/http_endpoint.hpp
+++ b/tests/soak/http_endpoint.hpp
@@ -45,6 +45,9 @@
     /// Resets a connection that was idle for longer than this when the next
     /// bytes arrive on it.
     void set_idle_limit(seconds limit) { this->idle_limit = limit; }
+    /// Closes a connection that is idle for longer than this, in an orderly
+    /// way. A connection that is idle already keeps its former limit.
+    void set_idle_close(seconds limit) { this->idle_close = limit; }
 
 private:
     using socket_pointer = std::shared_ptr<tcp::socket>;
@@ -52,11 +55,15 @@
 
     boost::asio::awaitable<void> accept_all(acceptor_pointer accepting);
     boost::asio::awaitable<void> serve(socket_pointer socket);
+    /// Returns when bytes or the end of the connection can be read; false if
+    /// it was idle for too long before.
+    boost::asio::awaitable<bool> wait_for_bytes(socket_pointer socket);
 
     boost::asio::io_context& context;
     handler handle;
     std::uint16_t port = 0;
     seconds idle_limit = seconds::max();
+    seconds idle_close = seconds::max();
     acceptor_pointer acceptor;
     std::set<socket_pointer> connections;
 };
--- a/tests/soak/platform_worker.cpp
+++ b/tests/soak/platform_worker.cpp
@@ -71,6 +71,8 @@
     this->mode = next;
     this->endpoint.set_idle_limit(
         next == worker_mode::forgetful ? short_idle_limit : seconds::max());
+    this->endpoint.set_idle_close(
+        next == worker_mode::closing_idle ? short_idle_limit : seconds::max());
 }
 
 bool platform_worker::is_affected(worker_mode by)
--- a/tests/soak/platform_worker.hpp
+++ b/tests/soak/platform_worker.hpp
@@ -28,6 +28,8 @@
     failing,
     /// Resets the connection after the run, for part of the requests.
     losing,
+    /// Closes connections in an orderly way after a short idle time.
+    closing_idle,
 };
 
 /// A request that reached a worker, and what the worker said with its answer.
