Discard answers of workers with an invalid status

Callers got a worker's answer with status 600 or 999 as it was, and the request counted as run. RFC 9110, section 15, knows statuses from 100 to 599 only and lets a recipient treat any other as a server error.

Cause: is_whole_answer() had a lower bound for the status of an answer and no upper one. It now has both, so that every codec and every kind of send discards such a response: the connection is closed, the certainty of the request is unknown, and a request that is not idempotent is not repeated.

--- a/src/upstream/worker_connection.cpp
+++ b/src/upstream/worker_connection.cpp
@@ -48,8 +48,11 @@
     bool is_whole_answer(const Parser& parser, bool accepts_close_delimited)
     {
         constexpr unsigned first_final_status = 200;
+        // RFC 9110, section 15: a greater status is invalid.
+        constexpr unsigned last_final_status = 599;
+        const unsigned status = parser.get().result_int();
         return (accepts_close_delimited || !parser.need_eof())
-            && parser.get().result_int() >= first_final_status;
+            && status >= first_final_status && status <= last_final_status;
     }
 
 } // namespace
@@ -213,8 +216,8 @@
         {
             co_return transfer_result{ std::nullopt,
                 this->failed(attempt_result::broken_after_send,
-                    "the response has no definite end or arrived before the "
-                    "request") };
+                    "the response has no definite end or no final status, or "
+                    "arrived before the request") };
         }
         const bool is_persistent = incoming.keep_alive() && !parser.need_eof();
         if (!names_request && is_persistent
