Give the memory of large bodies back to the host

Cause: the allocator raises its threshold for mapped blocks with each large block that is freed, and keeps such blocks, so the memory of a daemon stays at the peak of its bodies.

Change: a fixed threshold of 128 KB.

--- a/src/main/daemon_program.cpp
+++ b/src/main/daemon_program.cpp
@@ -1,5 +1,7 @@
 #include "main/daemon_program.hpp"
 
+#include <malloc.h>
+
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -30,6 +32,14 @@
     std::signal(SIGHUP, SIG_IGN);
 }
 
+void limit_kept_memory()
+{
+    // Without a fixed threshold, the allocator raises its own with each large
+    // block that is freed, and keeps such blocks from then on.
+    constexpr int mapped_block_bytes = 128 * 1024;
+    ::mallopt(M_MMAP_THRESHOLD, mapped_block_bytes);
+}
+
 boost::asio::awaitable<stop_action> next_stop_action(
     boost::asio::signal_set& stops, bool is_draining)
 {
--- a/src/main/daemon_program.hpp
+++ b/src/main/daemon_program.hpp
@@ -50,6 +50,10 @@
 /// line raises when the reader of standard output is gone.
 void ignore_fatal_signals();
 
+/// Makes the memory of large bodies go back to the host when they are gone, on
+/// which the shares of the memory for bodies rest.
+void limit_kept_memory();
+
 /// Waits for the next signal that ends the daemon, and logs what follows.
 boost::asio::awaitable<stop_action> next_stop_action(
     boost::asio::signal_set& stops, bool is_draining);
@@ -114,6 +118,7 @@
 template <class Daemon>
 int run_daemon(const settings& loaded, const std::string& file)
 {
+    limit_kept_memory();
     boost::asio::io_context context(loaded.get_threads());
     handled_signals signals(context);
     Daemon daemon(context, loaded);
