Bound what callers hold in memory

What callers saw: callers that do not behave used up the memory of a daemon (up to 424 MB of 64 with trailers without end), or kept ordinary callers out with bodies that stop short: 503 in 10 of 10 tries.

Cause: only bodies were counted. What was read and not parsed had no bound, pipelined bytes 64 KB a connection, connections none; a body that stopped short kept its memory for 30 s.

Change: the buffer of a connection is bounded (431 beyond it), 16 KB are read behind a running request; connections are bounded by memory and descriptors; small bodies and responses have parts of their own; and what runs short is taken from the request that has been incomplete for longest. A request that runs is never given up. It is refused with 503, not run, and Retry-After.

--- a/src/caller/caller_connection.cpp
+++ b/src/caller/caller_connection.cpp
@@ -7,6 +7,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <memory>
 #include <string_view>
@@ -31,6 +32,13 @@
     this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
 }
 
+void caller_connection::limit_buffer(std::size_t header_bytes)
+{
+    this->buffer.max_size(
+        std::max({ header_bytes, max_pipelined_bytes, this->buffer.size() })
+        + read_chunk_bytes);
+}
+
 asio::awaitable<std::size_t> caller_connection::read_some()
 {
     // The reactor reports the end of a stream only once.
@@ -133,6 +141,16 @@
     }
 }
 
+void caller_connection::evict()
+{
+    if (this->is_idle || this->is_reading)
+    {
+        this->is_evicted = true;
+        boost::system::error_code ignored;
+        this->socket.cancel(ignored);
+    }
+}
+
 bool caller_connection::has_unread_bytes() const
 {
     boost::system::error_code ignored;
--- a/src/caller/caller_connection.hpp
+++ b/src/caller/caller_connection.hpp
@@ -11,13 +11,17 @@
 
 /// Bytes of later requests that are buffered while one is running. Beyond this
 /// the connection is not read until the request has been answered.
-inline constexpr std::size_t max_pipelined_bytes = 65536;
+inline constexpr std::size_t max_pipelined_bytes = 16384;
 
 /// A connection from a caller. Used on the socket's strand only.
 class caller_connection {
 public:
     explicit caller_connection(boost::asio::ip::tcp::socket socket);
 
+    /// Bounds the bytes that are read and not parsed yet, such as trailer
+    /// fields without an end, so that a header of `header_bytes` fits.
+    void limit_buffer(std::size_t header_bytes);
+
     /// Waits for bytes and reads them. Returns 0 if the connection ended.
     boost::asio::awaitable<std::size_t> read_some();
 
@@ -43,12 +47,23 @@
     /// bytes, which are neither in the buffer nor in the kernel until then.
     void end_idle_wait();
 
+    /// Closes the connection for others' sake: ends the wait for a request, or
+    /// the reading of one. Does nothing while a request runs.
+    void evict();
+
     bool has_unread_bytes() const;
 
     boost::asio::ip::tcp::socket socket;
     boost::beast::flat_buffer buffer;
     /// True while the server waits for the next request.
     bool is_idle = false;
+    /// Whether there are too many connections to serve this one: its request is
+    /// refused.
+    bool is_over_limit = false;
+    /// True while the server reads a request.
+    bool is_reading = false;
+    /// Whether evict() has ended a wait or the reading of a request.
+    bool is_evicted = false;
     /// Whether a request was answered on the connection.
     bool has_answered = false;
 
--- a/src/caller/connection_table.cpp
+++ b/src/caller/connection_table.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace pollenward::caller {
 
@@ -15,7 +16,9 @@
 std::uint64_t connection_table::add(connection_pointer connection)
 {
     const std::uint64_t number = ++this->last_number;
-    this->connections.store(number, entry{ std::move(connection), false });
+    this->connections.store(number,
+        entry{ std::move(connection), connection_phase::idle,
+            core::runtime_clock::now() });
     return number;
 }
 
@@ -27,22 +30,72 @@
 
 void connection_table::begin_request(std::uint64_t number)
 {
-    this->set_busy(number, true);
+    this->set_phase(
+        number, connection_phase::reading_header, core::runtime_clock::now());
+}
+
+void connection_table::begin_body(std::uint64_t number, bool is_small)
+{
+    this->set_phase(number,
+        is_small ? connection_phase::reading_small_body
+                 : connection_phase::reading_large_body,
+        std::nullopt);
+}
+
+void connection_table::begin_run(std::uint64_t number)
+{
+    this->set_phase(
+        number, connection_phase::running, core::runtime_clock::now());
 }
 
 void connection_table::end_request(std::uint64_t number)
 {
-    this->set_busy(number, false);
+    this->set_phase(number, connection_phase::idle, core::runtime_clock::now());
 }
 
-void connection_table::set_busy(std::uint64_t number, bool is_busy)
+void connection_table::set_phase(std::uint64_t number, connection_phase phase,
+    std::optional<core::time_point> since)
 {
     this->connections.update(number, [=](const std::optional<entry>& current) {
-        return current ? std::optional(entry{ current->connection, is_busy })
+        return current ? std::optional(entry{
+                   current->connection, phase, since.value_or(current->since) })
                        : std::nullopt;
     });
 }
 
+bool connection_table::evict(scarce_resource scarce, std::uint64_t number,
+    core::duration min_time, std::size_t count)
+{
+    // All connections are compared, which takes a tenth of a millisecond with
+    // a thousand of them.
+    constexpr core::milliseconds min_interval{ 5 };
+    const auto now = core::runtime_clock::now();
+    if (now - this->last_eviction.load() < min_interval)
+    {
+        return false;
+    }
+    this->last_eviction = now;
+    const auto all = this->connections.entries();
+    std::vector<connection_state> open;
+    open.reserve(all.size());
+    for (const auto& [each, state] : all)
+    {
+        open.push_back(connection_state::make(each, state.phase, state.since));
+    }
+    const auto chosen = choose_evictions(
+        std::move(open), scarce, number, now, min_time, count);
+    for (const std::uint64_t each : chosen)
+    {
+        const auto evicted = this->connections.find(each);
+        if (evicted)
+        {
+            asio::post(evicted->connection->socket.get_executor(),
+                [connection = evicted->connection] { connection->evict(); });
+        }
+    }
+    return !chosen.empty();
+}
+
 void connection_table::begin_drain()
 {
     // A connection that becomes idle after the flag is set reads it; one that
@@ -58,8 +111,10 @@
 std::size_t connection_table::in_flight() const
 {
     const auto all = this->connections.entries();
-    const auto count = std::count_if(all.begin(), all.end(),
-        [](const auto& each) { return each.second.is_busy; });
+    const auto count
+        = std::count_if(all.begin(), all.end(), [](const auto& each) {
+              return each.second.phase != connection_phase::idle;
+          });
     return static_cast<std::size_t>(count);
 }
 
@@ -104,7 +159,7 @@
     std::size_t interrupted_requests = 0;
     for (const auto& [number, each] : this->connections.entries())
     {
-        interrupted_requests += each.is_busy ? 1 : 0;
+        interrupted_requests += each.phase != connection_phase::idle ? 1 : 0;
         asio::post(each.connection->socket.get_executor(),
             [connection = each.connection] { connection->close(); });
     }
--- a/src/caller/connection_table.hpp
+++ b/src/caller/connection_table.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "caller/caller_connection.hpp"
+#include "caller/connection_state.hpp"
+#include "caller/eviction_decision.hpp"
 #include "core/runtime_timer.hpp"
 #include "core/sharded_map.hpp"
 
@@ -11,6 +13,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 
 namespace pollenward::caller {
 
@@ -30,8 +33,19 @@
     void remove(std::uint64_t number);
 
     void begin_request(std::uint64_t number);
+    void begin_body(std::uint64_t number, bool is_small);
+    void begin_run(std::uint64_t number);
     void end_request(std::uint64_t number);
 
+    std::size_t size() const { return this->connections.size(); }
+
+    /// Closes connections other than `number`, `count` at most, to free the
+    /// resource; requests that are being read on them are refused. Chooses
+    /// among those that have been reading or idle for `min_time`. False if
+    /// there are none, or if the last choice was made just now.
+    bool evict(scarce_resource scarce, std::uint64_t number,
+        core::duration min_time, std::size_t count);
+
     /// From now on each connection is closed after its next answer. Idle ones
     /// stay open, because their next request may already be in transit.
     void begin_closing() { this->closing = true; }
@@ -56,12 +70,15 @@
 private:
     struct entry {
         connection_pointer connection;
-        bool is_busy = false;
+        connection_phase phase = connection_phase::idle;
+        core::time_point since;
     };
 
     using timer_pointer = std::shared_ptr<core::runtime_timer>;
 
-    void set_busy(std::uint64_t number, bool is_busy);
+    /// Without a time, the current one is kept.
+    void set_phase(std::uint64_t number, connection_phase phase,
+        std::optional<core::time_point> since);
     void notify_if_empty();
     boost::asio::awaitable<bool> wait_on_strand(core::time_point limit);
 
@@ -69,6 +86,7 @@
     core::sharded_map<std::uint64_t, entry> connections;
     core::sharded_map<std::uint64_t, timer_pointer> idle_waiters;
     std::atomic<std::uint64_t> last_number{ 0 };
+    std::atomic<core::time_point> last_eviction{ core::time_point() };
     std::atomic<bool> closing{ false };
     std::atomic<bool> draining{ false };
 };
--- a/src/caller/http_message.cpp
+++ b/src/caller/http_message.cpp
@@ -186,9 +186,12 @@
     {
         constexpr core::milliseconds retry_after{ 1000 };
         return caller_answer::without_body(outcome::not_run(
-            503, "no memory is left for the body", retry_after));
+            503, "no memory is left for the request", retry_after));
     }
-    if (failure == http::error::header_limit)
+    // The buffer is full of what the parser takes only as a whole: a header,
+    // the line of a chunk or the trailer fields.
+    if (failure == http::error::header_limit
+        || failure == http::error::buffer_overflow)
     {
         return refusal(431, "header is too large");
     }
--- a/src/caller/http_server.hpp
+++ b/src/caller/http_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "caller/body_memory.hpp"
 #include "caller/caller_answer.hpp"
 #include "caller/caller_connection.hpp"
 #include "caller/caller_limits.hpp"
@@ -29,6 +30,7 @@
 #include <concepts>
 #include <cstdint>
 #include <exception>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -89,13 +91,14 @@
 public:
     /// `bodies` bounds the bodies of all requests that are in memory.
     http_server(boost::asio::io_context& context, const Router& routes,
-        Handler& handler,
-        core::memory_budget bodies = core::memory_budget::unlimited())
+        Handler& handler, body_memory bodies = body_memory::unlimited(),
+        std::size_t max_connections = std::numeric_limits<std::size_t>::max())
         : listener(context)
         , connections(context)
         , routes(routes)
         , handler(handler)
         , bodies(std::move(bodies))
+        , max_connections(max_connections)
     {
     }
 
@@ -150,9 +153,18 @@
     {
         return this->listener.accept_all(
             [this](tcp::socket socket) {
+                const bool is_over_limit = !this->has_capacity();
+                if (is_over_limit && !this->may_refuse_one_more())
+                {
+                    operators::write(
+                        operators::event::make("callers.connection_closed")
+                            .with("open", this->connections.size()));
+                    return;
+                }
                 const auto strand = socket.get_executor();
                 auto connection
                     = std::make_shared<caller_connection>(std::move(socket));
+                connection->is_over_limit = is_over_limit;
                 // Counted at once: a drain waits for it from now on.
                 const auto number = this->connections.add(connection);
                 boost::asio::co_spawn(strand,
@@ -165,6 +177,27 @@
             });
     }
 
+    /// Whether one more connection can be served, at the expense of others if
+    /// there are too many.
+    bool has_capacity()
+    {
+        constexpr std::uint64_t none = 0;
+        constexpr std::size_t count = 32;
+        constexpr std::size_t excess_share = 8;
+        const std::size_t open = this->connections.size();
+        const std::size_t excess = open - std::min(open, this->max_connections);
+        const bool is_urgent = excess > this->max_connections / excess_share;
+        return open < this->max_connections
+            || this->connections.evict(scarce_resource::connections, none,
+                is_urgent ? core::duration() : min_reading_time, count);
+    }
+
+    /// Whether there is room for a connection whose request is only refused.
+    bool may_refuse_one_more() const
+    {
+        return this->connections.size() / 2 < this->max_connections;
+    }
+
     boost::asio::awaitable<void> serve(
         std::shared_ptr<caller_connection> connection, std::uint64_t number)
     {
@@ -195,7 +228,8 @@
                 break;
             }
             this->connections.begin_request(number);
-            const bool is_kept = co_await this->serve_request(connection);
+            const bool is_kept
+                = co_await this->serve_request(connection, number);
             this->connections.end_request(number);
             if (!is_kept)
             {
@@ -230,7 +264,8 @@
             const auto count = co_await core::with_deadline(
                 connection.read_some(), expiry());
             // A new configuration may have moved the expiry.
-            is_over = count.has_value() || this->connections.is_draining()
+            is_over = count.has_value() || connection.is_evicted
+                || this->connections.is_draining()
                 || connection.has_unread_bytes()
                 || core::runtime_clock::now() >= expiry();
         }
@@ -240,23 +275,33 @@
     }
 
     /// Serves one request; false when the connection has to be closed.
-    boost::asio::awaitable<bool> serve_request(caller_connection& connection)
+    boost::asio::awaitable<bool> serve_request(
+        caller_connection& connection, std::uint64_t number)
     {
         namespace http = boost::beast::http;
         http_parser incoming;
         const caller_limits limits = Dialect::limits(this->routes);
         incoming.header_limit(limits.get_header_bytes());
+        connection.limit_buffer(limits.get_header_bytes());
         // The limit depends on the kind, which is known only after the header.
         incoming.body_limit(boost::none);
+        connection.is_evicted = false;
+        connection.is_reading = true;
         const auto failure
             = co_await this->complete_within(limits.get_header_time(),
                 http::async_read_header(connection.socket, connection.buffer,
                     incoming, as_result()));
+        connection.is_reading = false;
         if (failure)
         {
             co_return co_await this->refuse_failed_read(
                 connection, incoming, failure);
         }
+        if (connection.is_over_limit)
+        {
+            co_return co_await this->refuse_failed_read(connection, incoming,
+                make_error_code(boost::system::errc::not_enough_memory));
+        }
         const auto& header = incoming.get();
         const auto kind = Dialect::find_kind(this->routes, header);
         if (!kind)
@@ -272,11 +317,12 @@
             co_return co_await this->refuse(
                 connection, incoming, refusal(400, reason.describe()));
         }
-        co_return co_await this->serve_body(connection, incoming, *head);
+        co_return co_await this->serve_body(
+            connection, number, incoming, *head);
     }
 
     boost::asio::awaitable<bool> serve_body(caller_connection& connection,
-        http_parser& incoming, const request_head& head)
+        std::uint64_t number, http_parser& incoming, const request_head& head)
     {
         namespace http = boost::beast::http;
         const std::uint64_t limit
@@ -288,8 +334,10 @@
                 http::make_error_code(http::error::body_limit));
         }
         incoming.body_limit(limit);
-        core::memory_lease reserved = this->bodies.lease();
-        if (!reserved.resize(incoming.content_length().value_or(0)))
+        body_memory::lease reserved(this->bodies);
+        const bool is_reserved = this->reserve(
+            number, reserved, incoming.content_length().value_or(0));
+        if (!is_reserved)
         {
             co_return co_await this->refuse_failed_read(connection, incoming,
                 make_error_code(boost::system::errc::not_enough_memory));
@@ -302,9 +350,11 @@
                 co_return false;
             }
         }
+        connection.is_reading = true;
         const auto failure = co_await this->complete_within(
             Dialect::limits(this->routes).get_body_time(),
-            this->read_body(connection, incoming, reserved));
+            this->read_body(connection, number, incoming, reserved));
+        connection.is_reading = false;
         if (failure)
         {
             co_return co_await this->refuse_failed_read(
@@ -317,15 +367,16 @@
                 connection, incoming, stopping_answer());
         }
         auto body = core::shared_text::make(
-            std::exchange(incoming.get().body(), {}), std::move(reserved));
+            std::exchange(incoming.get().body(), {}), reserved.release());
+        this->connections.begin_run(number);
         co_return co_await this->run(
             connection, incoming.get(), std::move(body), head);
     }
 
     /// Reads the rest of a request while there is memory for its body.
     boost::asio::awaitable<std::tuple<boost::system::error_code>> read_body(
-        caller_connection& connection, http_parser& incoming,
-        core::memory_lease& reserved)
+        caller_connection& connection, std::uint64_t number,
+        http_parser& incoming, body_memory::lease& reserved)
     {
         boost::system::error_code failure;
         while (!failure && !incoming.is_done())
@@ -334,7 +385,8 @@
                 connection.socket, connection.buffer, incoming, as_result());
             failure = std::get<0>(read);
             const std::size_t held = incoming.get().body().capacity();
-            if (!failure && held > reserved.size() && !reserved.resize(held))
+            if (!failure && held > reserved.size()
+                && !this->reserve(number, reserved, held))
             {
                 failure
                     = make_error_code(boost::system::errc::not_enough_memory);
@@ -343,6 +395,27 @@
         co_return std::tuple(failure);
     }
 
+    /// Reserves memory for a body. When little is left, or none, a request that
+    /// has been read for longer is refused.
+    bool reserve(
+        std::uint64_t number, body_memory::lease& reserved, std::size_t bytes)
+    {
+        const bool is_reserved = reserved.resize(bytes);
+        const bool is_small
+            = is_reserved ? reserved.is_small() : bytes <= max_small_body_bytes;
+        if (is_reserved)
+        {
+            this->connections.begin_body(number, is_small);
+        }
+        if (!is_reserved || this->bodies.is_scarce(is_small))
+        {
+            this->connections.evict(is_small ? scarce_resource::small_bodies
+                                             : scarce_resource::large_bodies,
+                number, min_reading_time, 1);
+        }
+        return is_reserved;
+    }
+
     /// Runs a complete request, and cancels it if the caller disconnects.
     boost::asio::awaitable<bool> run(caller_connection& connection,
         const http_request& message, core::shared_text body,
@@ -402,7 +475,9 @@
         caller_connection& connection, const http_parser& incoming,
         boost::system::error_code failure)
     {
-        const auto answer = answer_to_failed_read(failure);
+        const auto answer = answer_to_failed_read(connection.is_evicted
+                ? make_error_code(boost::system::errc::not_enough_memory)
+                : failure);
         if (!answer)
         {
             connection.close();
@@ -492,7 +567,8 @@
     connection_table connections;
     const Router& routes;
     Handler& handler;
-    core::memory_budget bodies;
+    body_memory bodies;
+    std::size_t max_connections;
 };
 
 } // namespace pollenward::caller
--- a/src/main/daemon.cpp
+++ b/src/main/daemon.cpp
@@ -46,9 +46,9 @@
     , guard(this->fleet)
     , aggregators(this->startup_settings.get_zone(), wall_clock_offset())
     , applier(this->configuration, this->workers, this->claims, this->fleet)
-    , bodies(this->startup_settings.make_body_budget())
+    , responses(this->startup_settings.make_response_budget())
     , dispatcher(context.get_executor(), this->standings, this->standings,
-          this->guard, this->bodies)
+          this->guard, this->responses)
     , upstreams(this->dispatcher, this->guard)
     , limits(this->dispatcher, this->configuration)
     , gate(this->limits)
@@ -67,7 +67,9 @@
           this->dispatcher.get_connections())
     , requests(
           this->gate, this->claims, this->guard, this->upstreams, this->metrics)
-    , callers(context, this->configuration, this->requests, this->bodies)
+    , callers(context, this->configuration, this->requests,
+          this->startup_settings.make_body_memory(),
+          this->startup_settings.get_max_connections())
     , view({ this->configuration, this->store, this->publisher, this->sync,
           this->fleet, this->claims, this->guard, this->dispatcher,
           this->standings, this->metrics,
--- a/src/main/daemon.hpp
+++ b/src/main/daemon.hpp
@@ -82,7 +82,7 @@
     replicated_guard guard;
     evidence_aggregator aggregators;
     document_applier applier;
-    core::memory_budget bodies;
+    core::memory_budget responses;
     worker_dispatcher dispatcher;
     guarded_dispatcher upstreams;
     service_limits limits;
--- a/src/main/entry_daemon.hpp
+++ b/src/main/entry_daemon.hpp
@@ -101,18 +101,20 @@
               this->placement)
         , guard(this->zone)
         , stale_daemons(this->guard, this->store)
-        , bodies(this->initial_settings.make_body_budget())
+        , responses(this->initial_settings.make_response_budget())
         , dispatcher(context.get_executor(), this->placement, this->guard,
               this->initial_settings.get_retry_limits(),
               this->initial_settings.get_placement_costs(),
-              { .bodies = this->bodies }, this->configuration)
+              { .bodies = this->responses }, this->configuration)
         , limits(this->placement)
         , gate(this->limits)
         , pauses(this->gate, this->placement)
         , upstreams{ *this }
         , requests(this->pauses, this->claims, this->guard, this->upstreams,
               this->metrics)
-        , callers(context, this->configuration, this->requests, this->bodies)
+        , callers(context, this->configuration, this->requests,
+              this->initial_settings.make_body_memory(),
+              this->initial_settings.get_max_connections())
         , view(this->configuration, this->placement, this->zone, this->metrics)
         , admin(context, this->view)
         , configurations(this->configuration, this->role)
@@ -428,7 +430,7 @@
     zone_synchronizer zone;
     guard_type guard;
     stale_daemon_remover<guard_type, typename Platform::store> stale_daemons;
-    core::memory_budget bodies;
+    core::memory_budget responses;
     dispatcher_type dispatcher;
     entry_limits limits;
     gate_type gate;
--- a/src/main/settings.cpp
+++ b/src/main/settings.cpp
@@ -3,10 +3,12 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
 
+#include <sys/resource.h>
 #include <toml++/toml.h>
 #include <unistd.h>
 
@@ -29,6 +31,15 @@
         return std::max(min_exit_time, grace / exit_time_share);
     }
 
+    // Shares of the memory of the process. A body of 64 MB, the largest that
+    // the platform allows, fits into the large share of a host of 160 MB. The
+    // rest is for copies of bodies that are written and for the state of the
+    // fleet.
+    constexpr double large_body_share = 0.4;
+    constexpr double small_body_share = 0.1;
+    constexpr double response_share = 0.15;
+    constexpr double connection_share = 0.2;
+
     /// In bytes; 0 if it is not known.
     double memory_of_host()
     {
@@ -37,6 +48,16 @@
             * static_cast<double>(::sysconf(_SC_PAGESIZE));
     }
 
+    /// Descriptors that the process may have open.
+    std::size_t max_descriptors()
+    {
+        rlimit limit{};
+        const bool is_known = ::getrlimit(RLIMIT_NOFILE, &limit) == 0
+            && limit.rlim_cur != RLIM_INFINITY;
+        return is_known ? static_cast<std::size_t>(limit.rlim_cur)
+                        : std::numeric_limits<std::size_t>::max();
+    }
+
     /// Parses "250ms", "2s" or "2.5s"; a number without a unit is refused.
     std::optional<core::milliseconds> parse_duration(std::string_view text)
     {
@@ -330,18 +351,52 @@
 
 } // namespace
 
-core::memory_budget settings::make_body_budget() const
+std::optional<std::size_t> settings::get_memory_share(double share) const
 {
-    // Beside the bodies, a response is copied while it is written, and a body
-    // without a length moves while it grows.
-    constexpr double body_share = 0.4;
     constexpr double bytes_per_megabyte = 1 << 20;
     const double granted = this->memory == 0
         ? memory_of_host()
         : bytes_per_megabyte * static_cast<double>(this->memory);
-    return granted == 0 ? core::memory_budget::unlimited()
-                        : core::memory_budget::make(
-                            static_cast<std::size_t>(body_share * granted));
+    return granted == 0
+        ? std::nullopt
+        : std::optional(static_cast<std::size_t>(share * granted));
+}
+
+core::memory_budget settings::make_budget(double share) const
+{
+    const auto bytes = this->get_memory_share(share);
+    return bytes ? core::memory_budget::make(*bytes)
+                 : core::memory_budget::unlimited();
+}
+
+caller::body_memory settings::make_body_memory() const
+{
+    return caller::body_memory::make(
+        this->make_budget(small_body_share), this->make_body_budget());
+}
+
+core::memory_budget settings::make_body_budget() const
+{
+    return this->make_budget(large_body_share);
+}
+
+core::memory_budget settings::make_response_budget() const
+{
+    return this->make_budget(response_share);
+}
+
+std::size_t settings::get_max_connections() const
+{
+    // A header of 16 KB in the buffer and parsed, and the state of a request.
+    constexpr std::size_t connection_bytes = 48 * 1024;
+    // The others are for workers, daemons and the store.
+    constexpr std::size_t descriptor_share = 2;
+    const std::size_t by_memory
+        = this->get_memory_share(connection_share)
+              .value_or(std::numeric_limits<std::size_t>::max())
+        / connection_bytes;
+    return std::max<std::size_t>(
+        1, std::min(by_memory, max_descriptors() / descriptor_share));
 }
 
 std::optional<settings> settings::create(std::string_view text,
--- a/src/main/settings.hpp
+++ b/src/main/settings.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "caller/body_memory.hpp"
 #include "core/endpoint.hpp"
 #include "core/error.hpp"
 #include "core/ids.hpp"
@@ -9,6 +10,7 @@
 #include "upstream/worker_placement.hpp"
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -45,10 +47,19 @@
         return next;
     }
 
-    /// Bounds the bodies of requests and responses in memory: a share of the
-    /// memory that the host grants.
+    /// Bounds the bodies of requests in memory: shares of the memory that the
+    /// host grants.
+    caller::body_memory make_body_memory() const;
+    /// The part for large bodies.
     core::memory_budget make_body_budget() const;
 
+    /// Bounds the bodies of responses in memory.
+    core::memory_budget make_response_budget() const;
+
+    /// Connections of callers that are kept open: as many as fit into a share
+    /// of the memory and of the descriptors.
+    std::size_t get_max_connections() const;
+
     /// Time between failing the balancer's check and closing the listener.
     core::milliseconds get_drain_delay() const { return this->drain_delay; }
 
@@ -110,6 +121,11 @@
     auto operator<=>(const settings& other) const = default;
 
 private:
+    /// A share of the memory that the host grants, in bytes; nothing if that is
+    /// not known.
+    std::optional<std::size_t> get_memory_share(double share) const;
+    core::memory_budget make_budget(double share) const;
+
     core::daemon_id id;
     core::zone_id zone;
     core::region_id region;
--- a/tests/caller/http_server_test.cpp
+++ b/tests/caller/http_server_test.cpp
@@ -3,14 +3,17 @@
 #include <boost/asio/use_future.hpp>
 #include <catch2/catch.hpp>
 
+#include <memory>
+#include <vector>
+
 using namespace pollenward;
 using namespace pollenward::caller;
 using namespace pollenward::caller::test;
 namespace asio = boost::asio;
 using core::runtime_clock;
 
-// Guards against bad input that reaches a worker, and against an answer
-// without the outcome and the id that callers rely on.
+// Guards against bad input that reaches a worker or is kept without a limit,
+// and against an answer without the outcome and the id that callers rely on.
 TEST_CASE("bad requests are refused before they are handled", "[caller]")
 {
     server_test test;
@@ -63,6 +66,27 @@
     {
         refused(get("/votes", "A: " + std::string(20000, 'a') + "\r\n"), "431");
     }
+    const std::string chunked = post + "Transfer-Encoding: chunked\r\n\r\n";
+    SECTION("trailer fields without an end")
+    {
+        std::string fields;
+        while (fields.size() <= max_pipelined_bytes)
+        {
+            fields += "A: " + std::string(1000, 'a') + "\r\n";
+        }
+        refused(chunked + "0\r\n" + fields + fields, "431");
+    }
+    SECTION("trailer line without an end")
+    {
+        refused(
+            chunked + "0\r\nA: " + std::string(max_pipelined_bytes * 2, 'a'),
+            "431");
+    }
+    SECTION("chunk line without an end")
+    {
+        refused(
+            chunked + "1;" + std::string(max_pipelined_bytes * 2, 'a'), "431");
+    }
 }
 
 // Guards against lost or reordered answers on one connection, and against a
@@ -200,6 +224,71 @@
     CHECK(has(first.read_until("/votes/hold"), "HTTP/1.1 200"));
 }
 
+// Guards against bodies that stop short of their end and keep other callers out
+// until their time limit.
+TEST_CASE("an incomplete body gives up its memory", "[caller]")
+{
+    server_test test(0);
+    const std::string head = "POST /votes/1 HTTP/1.1\r\nHost: a\r\n";
+    caller_socket first(test);
+    first.send(head + "Content-Length: 10\r\n\r\n12345678");
+    test.run_ready();
+    caller_socket second(test);
+    second.send(head + "Content-Length: 10\r\n\r\n1234567890");
+    test.run_ready();
+    // The first one was begun just now, and keeps its memory.
+    CHECK(has(second.read_until("\r\n\r\n"), "HTTP/1.1 503"));
+    test.advance_and_run(min_reading_time);
+    caller_socket third(test);
+    third.send(head + "Content-Length: 10\r\n\r\n1234567890");
+    test.run_ready();
+    const auto refused = first.read_until("\r\n\r\n");
+    CHECK(has(refused, "HTTP/1.1 503"));
+    CHECK(has(refused, "Request-Outcome: not-run"));
+    CHECK(has(refused, "Retry-After: "));
+    CHECK(has(third.read_until("\r\n\r\n"), "HTTP/1.1 503"));
+    caller_socket fourth(test);
+    fourth.send(head + "Content-Length: 10\r\n\r\n1234567890");
+    test.run_ready();
+    CHECK(has(fourth.read_until("/votes/1"), "HTTP/1.1 200"));
+    CHECK(test.handler.started == 1);
+}
+
+// Guards against callers that use up the connections of a daemon with
+// incomplete headers, and against one that loses the request that it has sent.
+TEST_CASE("an incomplete header gives up its connection", "[caller]")
+{
+    server_test test(0);
+    caller_socket busy(test);
+    busy.send(get("/votes/hold"));
+    test.run_ready();
+    std::vector<std::unique_ptr<caller_socket>> slow;
+    while (slow.size() + 1 < server_test::max_connections)
+    {
+        slow.push_back(std::make_unique<caller_socket>(test));
+        slow.back()->send("GET /vo");
+        test.run_ready();
+    }
+    caller_socket early(test);
+    early.send(get("/votes/1"));
+    test.run_ready();
+    // No other one has been incomplete for long.
+    const auto refused = early.read_until("\r\n\r\n");
+    CHECK(has(refused, "HTTP/1.1 503"));
+    CHECK(has(refused, "Retry-After: "));
+    early.socket.close();
+    test.run_ready();
+    test.advance_and_run(min_reading_time);
+    caller_socket later(test);
+    later.send(get("/votes/2"));
+    test.run_ready();
+    CHECK(has(later.read_until("/votes/2"), "HTTP/1.1 200"));
+    CHECK(has(slow.front()->read_until("\r\n\r\n"), "HTTP/1.1 503"));
+    test.handler.release();
+    test.run_ready();
+    CHECK(has(busy.read_until("/votes/hold"), "HTTP/1.1 200"));
+}
+
 // Guards against an idle timeout that discards a request which arrived before
 // the connection was closed.
 TEST_CASE("a request at the end of the idle time is answered", "[caller]")
--- a/tests/caller/server_fixture.hpp
+++ b/tests/caller/server_fixture.hpp
@@ -138,8 +138,11 @@
     echo_handler handler;
     /// Enough for one body, which takes 15 bytes or more.
     static constexpr std::size_t max_bodies = 20;
+    static constexpr std::size_t max_connections = 8;
     http_server<one_route, echo_handler> server{ context, routes, handler,
-        core::memory_budget::make(max_bodies) };
+        body_memory::make(core::memory_budget::make(max_bodies),
+            core::memory_budget::make(0)),
+        max_connections };
     std::vector<std::jthread> threads;
 };
 
