--- a/src/caller/http_server.hpp
+++ b/src/caller/http_server.hpp
@@ -426,8 +426,7 @@
             = head.with_message(Dialect::to_message(message, std::move(body)),
                 core::runtime_clock::now());
         const auto answer = co_await (this->handle(std::move(request))
-            || wait_until_gone(connection, message.version(),
-                head.get_kind().is_idempotent()));
+            || wait_until_gone(connection, message.version()));
         if (answer.index() != 0)
         {
             log_unanswered(
@@ -440,17 +439,14 @@
             message.keep_alive());
     }
 
-    /// Returns why the caller does not read its answer any more. The end of the
-    /// stream counts for a caller of HTTP/1.0, which knows no interim
-    /// responses, and for a request that may be repeated: behind a relay that
-    /// passes a close on as the end of the stream, its run would go on for
-    /// nobody.
+    /// Returns why the caller does not read its answer any more. A caller of
+    /// HTTP/1.0 knows no interim responses: the end of its stream counts.
     static boost::asio::awaitable<boost::system::error_code> wait_until_gone(
-        caller_connection& connection, unsigned version, bool is_idempotent)
+        caller_connection& connection, unsigned version)
     {
         constexpr unsigned first_with_interim_responses = 11;
         const auto ended = co_await connection.wait_for_peer_close();
-        if (ended != boost::asio::error::eof || is_idempotent
+        if (ended != boost::asio::error::eof
             || version < first_with_interim_responses)
         {
             co_return ended;
