Send a second interim response to a caller whose stream has ended

Cause: a relay that passes a caller's close on as the end of its stream takes the first interim response, and notices the closed caller only at a second write.

--- a/src/caller/caller_connection.cpp
+++ b/src/caller/caller_connection.cpp
@@ -71,21 +71,21 @@
     co_return this->read_failure;
 }
 
-asio::awaitable<boost::system::error_code> caller_connection::wait_for_reset()
+bool caller_connection::send_interim_response()
 {
     constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
     const auto sent = ::send(this->socket.native_handle(), interim.data(),
         interim.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
     // Without room in the buffer, what is sent already shows a reset.
-    const bool is_partial
-        = sent > 0 && static_cast<std::size_t>(sent) < interim.size();
-    if (is_partial || (sent < 0 && errno != EAGAIN && errno != EWOULDBLOCK))
-    {
-        co_return asio::error::connection_reset;
-    }
+    const bool is_full = sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return is_full || sent == static_cast<ssize_t>(interim.size());
+}
+
+asio::awaitable<boost::system::error_code> caller_connection::wait_for_reset()
+{
     const auto failure_timer = std::make_shared<core::runtime_timer>(
         this->socket.get_executor(), core::runtime_clock::now() + reset_time);
-    bool is_over = false;
+    bool is_over = !this->send_interim_response();
     this->socket.async_wait(asio::socket_base::wait_error,
         [failure_timer](const boost::system::error_code& cancelled) {
             if (!cancelled)
@@ -97,7 +97,9 @@
     {
         const auto [ended_early] = co_await failure_timer->async_wait(
             asio::as_tuple(asio::use_awaitable));
-        is_over = ended_early || this->has_failed();
+        // A relay between the two notices a closed caller at the second write.
+        is_over = ended_early || this->has_failed()
+            || !this->send_interim_response();
         failure_timer->expires_at(core::time_point::max());
     }
     // A cancelled coroutine does not cancel a wait for a failure (Boost 1.81).
--- a/src/caller/caller_connection.hpp
+++ b/src/caller/caller_connection.hpp
@@ -69,6 +69,8 @@
 
 private:
     bool has_failed();
+    /// False if the connection has failed.
+    bool send_interim_response();
 
     /// What the last read ended with.
     boost::system::error_code read_failure;
--- a/tests/caller/http_server_test.cpp
+++ b/tests/caller/http_server_test.cpp
@@ -174,6 +174,7 @@
     // RFC 9110, 15.2: a caller skips interim responses.
     CHECK(caller.read_until("\r\n\r\n") == "HTTP/1.1 100 Continue\r\n\r\n");
     test.advance(core::seconds(1));
+    CHECK(caller.read_until("\r\n\r\n") == "HTTP/1.1 100 Continue\r\n\r\n");
     test.handler.release();
     const auto rest = caller.read_all();
     CHECK(has(rest, "HTTP/1.1 200"));
