--- a/src/caller/connection_table.cpp
+++ b/src/caller/connection_table.cpp
@@ -66,8 +66,7 @@
 bool connection_table::evict(scarce_resource scarce, std::uint64_t number,
     core::duration min_time, std::size_t count)
 {
-    // All connections are compared, which takes a tenth of a millisecond with
-    // a thousand of them.
+    // All connections are compared each time.
     constexpr core::milliseconds min_interval{ 5 };
     const auto now = core::runtime_clock::now();
     if (now - this->last_eviction.load() < min_interval)
