--- a/src/main/settings.cpp
+++ b/src/main/settings.cpp
@@ -388,7 +388,7 @@
 std::size_t settings::get_max_connections() const
 {
     // A header of 16 KB in the buffer and parsed, and the state of a request.
-    constexpr std::size_t connection_bytes = 48 * 1024;
+    constexpr std::size_t connection_bytes = 48UL * 1024;
     // The others are for workers, daemons and the store.
     constexpr std::size_t descriptor_share = 2;
     const std::size_t by_memory
