Reserve memory for a body in chunks before it grows

A crowd that sends large bodies in chunks took a daemon with 64 MB to a peak of 58 to 87 MB, and an ordinary caller got no answer beside it.

A body without a length was counted after it had grown, and a full string takes twice its memory while the old one is still there. The body of a refused request was kept until its answer was written. An exception was that a caller evicted between two reads was read on until its time limit.

The memory is reserved, exactly as much as is then taken, before the read that may need it. After a failed read the body and its memory are given back before the refusal is written. The code is in body_reader.

--- a/src/caller/http_server.hpp
+++ b/src/caller/http_server.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "caller/body_memory.hpp"
+#include "caller/body_reader.hpp"
 #include "caller/caller_answer.hpp"
 #include "caller/caller_connection.hpp"
+#include "caller/caller_dialect.hpp"
 #include "caller/caller_limits.hpp"
 #include "caller/caller_request.hpp"
 #include "caller/connection_table.hpp"
@@ -45,43 +47,6 @@
 /// Time that a caller has to close its side after the last answer.
 inline constexpr core::seconds lingering_close_timeout{ 2 };
 
-/// Translates between the header fields of one kind of caller and the values of
-/// this package. `Router` provides the routes and limits that the dialect looks
-/// up.
-template <class Type, class Router>
-concept caller_dialect
-    = requires(const Router& routes, const http_request& message,
-        core::shared_text body, const operators::kind_settings& kind,
-        core::time_point now, core::error& reason, const caller_answer& answer,
-        const core::request_id& id) {
-          {
-              Type::limits(routes)
-          } -> std::same_as<caller_limits>;
-          {
-              Type::find_kind(routes, message)
-          } -> std::same_as<std::optional<operators::kind_settings>>;
-          {
-              Type::answer_without_route(routes)
-          } -> std::same_as<caller_answer>;
-          {
-              Type::read_head(message, kind, routes.max_timeout(), now, reason)
-          } -> std::same_as<std::optional<request_head>>;
-          {
-              Type::to_message(message, body)
-          } -> std::same_as<upstream::request_message>;
-          {
-              Type::to_response(answer, message, id)
-          } -> std::same_as<http_response>;
-      };
-
-/// Processes a request and returns its answer.
-template <class Type>
-concept request_handler = requires(Type& type, caller_request request) {
-    {
-        type.handle(std::move(request))
-    } -> std::same_as<boost::asio::awaitable<caller_answer>>;
-};
-
 /// The HTTP/1.1 server for callers. Each connection runs as a coroutine on its
 /// own strand.
 template <class Router, request_handler Handler,
@@ -97,7 +62,7 @@
         , connections(context)
         , routes(routes)
         , handler(handler)
-        , bodies(std::move(bodies))
+        , bodies(this->connections, std::move(bodies))
         , max_connections(max_connections)
     {
     }
@@ -334,26 +299,27 @@
                 http::make_error_code(http::error::body_limit));
         }
         incoming.body_limit(limit);
-        body_memory::lease reserved(this->bodies);
-        const bool is_reserved = this->reserve(
+        body_memory::lease reserved = this->bodies.lease();
+        const bool is_reserved = this->bodies.reserve(
             number, reserved, incoming.content_length().value_or(0));
         if (!is_reserved)
         {
             co_return co_await this->refuse_failed_read(connection, incoming,
                 make_error_code(boost::system::errc::not_enough_memory));
         }
+        connection.is_reading = true;
+        boost::system::error_code failure;
         if (is_continue_expected(incoming.get()) && !incoming.is_done())
         {
-            const bool is_written = co_await this->write_continue(connection);
-            if (!is_written)
-            {
-                co_return false;
-            }
+            failure = co_await this->write_continue(connection);
+        }
+        if (!failure)
+        {
+            failure = co_await this->complete_within(
+                Dialect::limits(this->routes).get_body_time(),
+                this->bodies.read(
+                    connection, number, incoming, reserved, limit));
         }
-        connection.is_reading = true;
-        const auto failure = co_await this->complete_within(
-            Dialect::limits(this->routes).get_body_time(),
-            this->read_body(connection, number, incoming, reserved));
         connection.is_reading = false;
         if (failure)
         {
@@ -373,49 +339,6 @@
             connection, incoming.get(), std::move(body), head);
     }
 
-    /// Reads the rest of a request while there is memory for its body.
-    boost::asio::awaitable<std::tuple<boost::system::error_code>> read_body(
-        caller_connection& connection, std::uint64_t number,
-        http_parser& incoming, body_memory::lease& reserved)
-    {
-        boost::system::error_code failure;
-        while (!failure && !incoming.is_done())
-        {
-            const auto read = co_await boost::beast::http::async_read_some(
-                connection.socket, connection.buffer, incoming, as_result());
-            failure = std::get<0>(read);
-            const std::size_t held = incoming.get().body().capacity();
-            if (!failure && held > reserved.size()
-                && !this->reserve(number, reserved, held))
-            {
-                failure
-                    = make_error_code(boost::system::errc::not_enough_memory);
-            }
-        }
-        co_return std::tuple(failure);
-    }
-
-    /// Reserves memory for a body. When little is left, or none, a request that
-    /// has been read for longer is refused.
-    bool reserve(
-        std::uint64_t number, body_memory::lease& reserved, std::size_t bytes)
-    {
-        const bool is_reserved = reserved.resize(bytes);
-        const bool is_small
-            = is_reserved ? reserved.is_small() : bytes <= max_small_body_bytes;
-        if (is_reserved)
-        {
-            this->connections.begin_body(number, is_small);
-        }
-        if (!is_reserved || this->bodies.is_scarce(is_small))
-        {
-            this->connections.evict(is_small ? scarce_resource::small_bodies
-                                             : scarce_resource::large_bodies,
-                number, min_reading_time, 1);
-        }
-        return is_reserved;
-    }
-
     /// Runs a complete request, and cancels it if the caller disconnects.
     boost::asio::awaitable<bool> run(caller_connection& connection,
         const http_request& message, core::shared_text body,
@@ -528,14 +451,14 @@
         co_return !failure && is_kept;
     }
 
-    boost::asio::awaitable<bool> write_continue(caller_connection& connection)
+    boost::asio::awaitable<boost::system::error_code> write_continue(
+        caller_connection& connection)
     {
         http_response interim;
         interim.result(boost::beast::http::status::continue_);
-        const auto failure = co_await this->complete_within(write_timeout,
+        co_return co_await this->complete_within(write_timeout,
             boost::beast::http::async_write(
                 connection.socket, interim, as_result()));
-        co_return !failure;
     }
 
     template <class Operation>
@@ -563,7 +486,7 @@
     connection_table connections;
     const Router& routes;
     Handler& handler;
-    body_memory bodies;
+    body_reader bodies;
     std::size_t max_connections;
 };
 
