Let callers wait in the kernel's queue while there is no room

With twice as many connections as the limit, new ones were closed at once, and nobody had been incomplete for a second by then.

The listener now accepts only while there is room, and leaves the others in the kernel's queue. Room is made by closing connections that were answered and are not closed by the caller. These counted as idle before and were chosen although that freed nothing; a connection that was chosen could be chosen again; and an eviction for bodies kept one for connections from taking place for 5 ms. A drain takes the callers that wait until its limit.

--- a/src/caller/caller_connection.cpp
+++ b/src/caller/caller_connection.cpp
@@ -120,6 +120,9 @@
 {
     boost::system::error_code ignored;
     this->socket.shutdown(asio::socket_base::shutdown_send, ignored);
+    this->is_lingering = true;
+    this->buffer.clear();
+    this->buffer.shrink_to_fit();
     std::size_t count = 1;
     while (count > 0)
     {
@@ -145,7 +148,11 @@
 
 void caller_connection::evict()
 {
-    if (this->is_idle || this->is_reading)
+    if (this->is_lingering)
+    {
+        this->close();
+    }
+    else if (this->is_idle || this->is_reading)
     {
         this->is_evicted = true;
         boost::system::error_code ignored;
--- a/src/caller/caller_connection.hpp
+++ b/src/caller/caller_connection.hpp
@@ -47,8 +47,9 @@
     /// bytes, which are neither in the buffer nor in the kernel until then.
     void end_idle_wait();
 
-    /// Closes the connection for others' sake: ends the wait for a request, or
-    /// the reading of one. Does nothing while a request runs.
+    /// Closes the connection for others' sake: ends the wait for a request, the
+    /// reading of one, or the wait for the caller's close. Does nothing while a
+    /// request runs.
     void evict();
 
     bool has_unread_bytes() const;
@@ -62,6 +63,8 @@
     bool is_over_limit = false;
     /// True while the server reads a request.
     bool is_reading = false;
+    /// True while the server waits for the caller to close its side.
+    bool is_lingering = false;
     /// Whether evict() has ended a wait or the reading of a request.
     bool is_evicted = false;
     /// Whether a request was answered on the connection.
--- a/src/caller/connection_state.hpp
+++ b/src/caller/connection_state.hpp
@@ -19,6 +19,10 @@
     reading_large_body,
     /// The answer, or that the caller has read it.
     running,
+    /// That the caller closes its side after the last answer.
+    lingering,
+    /// The end of a connection that was chosen to be closed.
+    leaving,
 };
 
 /// The phase of an open connection, and since when it lasts. For a request that
@@ -41,8 +45,9 @@
 
     bool is_reading() const
     {
-        return this->phase != connection_phase::idle
-            && this->phase != connection_phase::running;
+        return this->phase == connection_phase::reading_header
+            || this->phase == connection_phase::reading_small_body
+            || this->phase == connection_phase::reading_large_body;
     }
 
     auto operator<=>(const connection_state&) const = default;
--- a/src/caller/connection_table.cpp
+++ b/src/caller/connection_table.cpp
@@ -13,6 +13,16 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+    bool is_in_flight(connection_phase phase)
+    {
+        return phase != connection_phase::idle
+            && phase != connection_phase::lingering;
+    }
+
+} // namespace
+
 std::uint64_t connection_table::add(connection_pointer connection)
 {
     const std::uint64_t number = ++this->last_number;
@@ -53,6 +63,12 @@
     this->set_phase(number, connection_phase::idle, core::runtime_clock::now());
 }
 
+void connection_table::begin_lingering(std::uint64_t number)
+{
+    this->set_phase(
+        number, connection_phase::lingering, core::runtime_clock::now());
+}
+
 void connection_table::set_phase(std::uint64_t number, connection_phase phase,
     std::optional<core::time_point> since)
 {
@@ -69,11 +85,13 @@
     // All connections are compared each time.
     constexpr core::milliseconds min_interval{ 5 };
     const auto now = core::runtime_clock::now();
-    if (now - this->last_eviction.load() < min_interval)
+    auto& last_eviction
+        = this->last_evictions.at(static_cast<std::size_t>(scarce));
+    if (now - last_eviction.load() < min_interval)
     {
         return false;
     }
-    this->last_eviction = now;
+    last_eviction = now;
     const auto all = this->connections.entries();
     std::vector<connection_state> open;
     open.reserve(all.size());
@@ -88,6 +106,7 @@
         const auto evicted = this->connections.find(each);
         if (evicted)
         {
+            this->set_phase(each, connection_phase::leaving, now);
             asio::post(evicted->connection->socket.get_executor(),
                 [connection = evicted->connection] { connection->evict(); });
         }
@@ -110,10 +129,8 @@
 std::size_t connection_table::in_flight() const
 {
     const auto all = this->connections.entries();
-    const auto count
-        = std::count_if(all.begin(), all.end(), [](const auto& each) {
-              return each.second.phase != connection_phase::idle;
-          });
+    const auto count = std::count_if(all.begin(), all.end(),
+        [](const auto& each) { return is_in_flight(each.second.phase); });
     return static_cast<std::size_t>(count);
 }
 
@@ -158,7 +175,7 @@
     std::size_t interrupted_requests = 0;
     for (const auto& [number, each] : this->connections.entries())
     {
-        interrupted_requests += each.phase != connection_phase::idle ? 1 : 0;
+        interrupted_requests += is_in_flight(each.phase) ? 1 : 0;
         asio::post(each.connection->socket.get_executor(),
             [connection = each.connection] { connection->close(); });
     }
--- a/src/caller/connection_table.hpp
+++ b/src/caller/connection_table.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <array>
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
@@ -36,6 +37,8 @@
     void begin_body(std::uint64_t number, bool is_small);
     void begin_run(std::uint64_t number);
     void end_request(std::uint64_t number);
+    /// The connection is closed when the caller has closed its side.
+    void begin_lingering(std::uint64_t number);
 
     std::size_t size() const { return this->connections.size(); }
 
@@ -86,7 +89,9 @@
     core::sharded_map<std::uint64_t, entry> connections;
     core::sharded_map<std::uint64_t, timer_pointer> idle_waiters;
     std::atomic<std::uint64_t> last_number{ 0 };
-    std::atomic<core::time_point> last_eviction{ core::time_point() };
+    /// By resource, in the order of the enumeration.
+    std::array<std::atomic<core::time_point>, scarce_resource_count>
+        last_evictions{};
     std::atomic<bool> closing{ false };
     std::atomic<bool> draining{ false };
 };
--- a/src/caller/eviction_decision.cpp
+++ b/src/caller/eviction_decision.cpp
@@ -1,24 +1,60 @@
 #include "caller/eviction_decision.hpp"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace pollenward::caller {
 
 namespace {
 
-    bool holds(const connection_state& state, scarce_resource scarce)
+    /// How long a connection keeps its phase at least; nothing if it does not
+    /// hold the resource.
+    std::optional<core::duration> min_time_of(const connection_state& state,
+        scarce_resource scarce, core::duration min_time)
     {
-        switch (scarce)
+        const bool is_any = scarce == scarce_resource::connections;
+        switch (state.get_phase())
         {
-        case scarce_resource::small_bodies:
-            return state.get_phase() == connection_phase::reading_small_body;
-        case scarce_resource::large_bodies:
-            return state.get_phase() == connection_phase::reading_large_body;
-        case scarce_resource::connections:
+        case connection_phase::idle:
+            return is_any ? std::optional(
+                       std::max<core::duration>(min_time, min_reading_time))
+                          : std::nullopt;
+        case connection_phase::reading_header:
+            return is_any ? std::optional(min_time) : std::nullopt;
+        case connection_phase::reading_small_body:
+            return is_any || scarce == scarce_resource::small_bodies
+                ? std::optional(min_time)
+                : std::nullopt;
+        case connection_phase::reading_large_body:
+            return is_any || scarce == scarce_resource::large_bodies
+                ? std::optional(min_time)
+                : std::nullopt;
+        case connection_phase::lingering:
+            return is_any ? std::optional<core::duration>(min_lingering_time)
+                          : std::nullopt;
+        case connection_phase::leaving:
+            // It may have been between two steps when it was chosen.
+            return is_any ? std::optional<core::duration>(min_reading_time)
+                          : std::nullopt;
+        case connection_phase::running:
             break;
         }
-        return state.is_reading();
+        return std::nullopt;
+    }
+
+    int order_of(const connection_state& state)
+    {
+        switch (state.get_phase())
+        {
+        case connection_phase::lingering:
+        case connection_phase::leaving:
+            return 0;
+        case connection_phase::idle:
+            return 2;
+        default:
+            return 1;
+        }
     }
 
 } // namespace
@@ -27,21 +63,15 @@
     scarce_resource scarce, std::uint64_t own_number, core::time_point now,
     core::duration min_time, std::size_t count)
 {
-    const auto is_idle = [](const connection_state& each) {
-        return each.get_phase() == connection_phase::idle;
-    };
     std::erase_if(open, [&](const connection_state& each) {
-        const bool may_free = holds(each, scarce)
-            || (scarce == scarce_resource::connections && is_idle(each));
-        return !may_free || each.get_number() == own_number
-            || now - each.get_since() < (is_idle(each)
-                       ? std::max<core::duration>(min_time, min_reading_time)
-                       : min_time);
+        const auto least = min_time_of(each, scarce, min_time);
+        return !least || each.get_number() == own_number
+            || now - each.get_since() < *least;
     });
     std::sort(
-        open.begin(), open.end(), [&](const auto& left, const auto& right) {
-            return std::pair(is_idle(left), left.get_since())
-                < std::pair(is_idle(right), right.get_since());
+        open.begin(), open.end(), [](const auto& left, const auto& right) {
+            return std::pair(order_of(left), left.get_since())
+                < std::pair(order_of(right), right.get_since());
         });
     std::vector<std::uint64_t> chosen;
     for (std::size_t i = 0; i < std::min(count, open.size()); ++i)
--- a/src/caller/http_server.hpp
+++ b/src/caller/http_server.hpp
@@ -7,6 +7,7 @@
 #include "caller/caller_dialect.hpp"
 #include "caller/caller_limits.hpp"
 #include "caller/caller_request.hpp"
+#include "caller/connection_limit.hpp"
 #include "caller/connection_table.hpp"
 #include "caller/http_message.hpp"
 #include "caller/route_table.hpp"
@@ -62,8 +63,8 @@
         , connections(context)
         , routes(routes)
         , handler(handler)
+        , open_limit(this->connections, max_connections)
         , bodies(this->connections, std::move(bodies))
-        , max_connections(max_connections)
     {
     }
 
@@ -103,7 +104,7 @@
     {
         if (this->listener.is_closing())
         {
-            co_await this->listener.wait_until_closed();
+            co_await this->listener.wait_until_closed(limit);
         }
         co_return co_await this->connections.wait_until_idle(limit);
     }
@@ -117,15 +118,9 @@
     boost::asio::awaitable<void> accept_all()
     {
         return this->listener.accept_all(
+            [this] { return this->open_limit.has_room(); },
             [this](tcp::socket socket) {
-                const bool is_over_limit = !this->has_capacity();
-                if (is_over_limit && !this->may_refuse_one_more())
-                {
-                    operators::write(
-                        operators::event::make("callers.connection_closed")
-                            .with("open", this->connections.size()));
-                    return;
-                }
+                const bool is_over_limit = !this->open_limit.has_capacity();
                 const auto strand = socket.get_executor();
                 auto connection
                     = std::make_shared<caller_connection>(std::move(socket));
@@ -142,27 +137,6 @@
             });
     }
 
-    /// Whether one more connection can be served, at the expense of others if
-    /// there are too many.
-    bool has_capacity()
-    {
-        constexpr std::uint64_t none = 0;
-        constexpr std::size_t count = 32;
-        constexpr std::size_t excess_share = 8;
-        const std::size_t open = this->connections.size();
-        const std::size_t excess = open - std::min(open, this->max_connections);
-        const bool is_urgent = excess > this->max_connections / excess_share;
-        return open < this->max_connections
-            || this->connections.evict(scarce_resource::connections, none,
-                is_urgent ? core::duration() : min_reading_time, count);
-    }
-
-    /// Whether there is room for a connection whose request is only refused.
-    bool may_refuse_one_more() const
-    {
-        return this->connections.size() / 2 < this->max_connections;
-    }
-
     boost::asio::awaitable<void> serve(
         std::shared_ptr<caller_connection> connection, std::uint64_t number)
     {
@@ -198,6 +172,7 @@
             this->connections.end_request(number);
             if (!is_kept)
             {
+                this->connections.begin_lingering(number);
                 co_await (connection.lingering_close()
                     || this->wait_for(lingering_close_timeout));
                 break;
@@ -486,8 +461,8 @@
     connection_table connections;
     const Router& routes;
     Handler& handler;
+    connection_limit open_limit;
     body_reader bodies;
-    std::size_t max_connections;
 };
 
 } // namespace pollenward::caller
--- a/src/core/tcp_listener.cpp
+++ b/src/core/tcp_listener.cpp
@@ -68,18 +68,24 @@
     });
 }
 
-asio::awaitable<void> tcp_listener::wait_until_closed()
+asio::awaitable<void> tcp_listener::wait_until_closed(time_point limit)
 {
-    const auto wait = [this]() -> asio::awaitable<void> {
-        while (this->accepting)
-        {
-            boost::system::error_code ignored;
-            co_await this->ended.async_wait(
-                asio::redirect_error(asio::use_awaitable, ignored));
-        }
-    };
-    co_await asio::co_spawn(
-        this->acceptor.get_executor(), wait(), asio::use_awaitable);
+    co_await asio::co_spawn(this->acceptor.get_executor(),
+        with_deadline(this->wait_for_end(), limit), asio::use_awaitable);
+}
+
+asio::awaitable<bool> tcp_listener::wait_for_end()
+{
+    auto state = co_await asio::this_coro::cancellation_state;
+    while (
+        this->accepting && state.cancelled() == asio::cancellation_type::none)
+    {
+        boost::system::error_code ignored;
+        co_await this->ended.async_wait(
+            asio::redirect_error(asio::use_awaitable, ignored));
+        state = co_await asio::this_coro::cancellation_state;
+    }
+    co_return true;
 }
 
 std::optional<tcp_listener::tcp::socket> tcp_listener::accept_waiting()
--- a/src/core/tcp_listener.hpp
+++ b/src/core/tcp_listener.hpp
@@ -23,6 +23,8 @@
 /// Delay after a failed accept. The usual cause, no free file descriptor,
 /// persists for a while, and the loop must not spin.
 inline constexpr milliseconds accept_retry_delay{ 100 };
+/// How often a listener checks whether it may accept again.
+inline constexpr milliseconds room_check_interval{ 10 };
 
 /// Listens on an endpoint and accepts connections, each on a strand of its
 /// own.
@@ -37,17 +39,23 @@
 
     /// Calls `on_accepted` with each connection until close(), also with those
     /// that wait to be accepted by then, and `on_failure` with the first
-    /// failure of a series. Runs on the listener's executor.
-    template <std::invocable<tcp::socket> OnAccepted,
+    /// failure of a series. Leaves connections in the kernel's queue while
+    /// `has_room` returns false. Runs on the listener's executor.
+    template <std::predicate HasRoom, std::invocable<tcp::socket> OnAccepted,
         std::invocable<const error&> OnFailure>
     boost::asio::awaitable<void> accept_all(
-        OnAccepted on_accepted, OnFailure on_failure)
+        HasRoom has_room, OnAccepted on_accepted, OnFailure on_failure)
     {
         namespace asio = boost::asio;
         bool has_failed = false;
         this->accepting = true;
         while (!this->closing)
         {
+            if (!has_room())
+            {
+                co_await wait_until(runtime_clock::now() + room_check_interval);
+                continue;
+            }
             auto [failure, socket] = co_await this->acceptor.async_accept(
                 asio::make_strand(this->context),
                 asio::as_tuple(asio::use_awaitable));
@@ -70,6 +78,10 @@
         }
         while (auto waiting = this->accept_waiting())
         {
+            while (!has_room())
+            {
+                co_await wait_until(runtime_clock::now() + room_check_interval);
+            }
             on_accepted(std::move(*waiting));
         }
         this->end_accepting();
@@ -80,8 +92,8 @@
     /// first.
     void close();
 
-    /// After close(): waits until accept_all() has ended.
-    boost::asio::awaitable<void> wait_until_closed();
+    /// After close(): waits until accept_all() has ended, or until `limit`.
+    boost::asio::awaitable<void> wait_until_closed(time_point limit);
 
     bool is_closing() const { return this->closing.load(); }
 
@@ -93,6 +105,8 @@
     /// A connection that waits to be accepted, if there is one.
     std::optional<tcp::socket> accept_waiting();
     void end_accepting();
+    /// True, so that it can have a deadline.
+    boost::asio::awaitable<bool> wait_for_end();
 
     boost::asio::io_context& context;
     tcp::acceptor acceptor;
--- a/src/main/settings.cpp
+++ b/src/main/settings.cpp
@@ -1,5 +1,7 @@
 #include "main/settings.hpp"
 
+#include "caller/connection_limit.hpp"
+
 #include <algorithm>
 #include <charconv>
 #include <cmath>
@@ -395,8 +397,9 @@
         = this->get_memory_share(connection_share)
               .value_or(std::numeric_limits<std::size_t>::max())
         / connection_bytes;
-    return std::max<std::size_t>(
-        1, std::min(by_memory, max_descriptors() / descriptor_share));
+    const std::size_t open
+        = std::min(by_memory, max_descriptors() / descriptor_share);
+    return std::max<std::size_t>(1, open - open / (caller::refused_share + 1));
 }
 
 std::optional<settings> settings::create(std::string_view text,
--- a/src/main/settings.hpp
+++ b/src/main/settings.hpp
@@ -56,8 +56,8 @@
     /// Bounds the bodies of responses in memory.
     core::memory_budget make_response_budget() const;
 
-    /// Connections of callers that are kept open: as many as fit into a share
-    /// of the memory and of the descriptors.
+    /// Connections of callers that are served. With those whose requests are
+    /// refused, they fit into a share of the memory and of the descriptors.
     std::size_t get_max_connections() const;
 
     /// Time between failing the balancer's check and closing the listener.
--- a/src/operators/admin_server.hpp
+++ b/src/operators/admin_server.hpp
@@ -70,7 +70,7 @@
 
     boost::asio::awaitable<void> accept_all()
     {
-        return this->listener.accept_all(
+        return this->listener.accept_all([] { return true; },
             [this](tcp::socket socket) {
                 const auto strand = socket.get_executor();
                 boost::asio::co_spawn(strand, this->serve(std::move(socket)),
--- a/tests/caller/eviction_decision_test.cpp
+++ b/tests/caller/eviction_decision_test.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <utility>
 #include <vector>
 
 using namespace pollenward;
@@ -61,3 +62,20 @@
     CHECK(chosen(scarce_resource::connections, core::duration())
         == numbers{ 1, 2, 4 });
 }
+
+// Guards against connections that free nothing when they are chosen, while
+// others could.
+TEST_CASE("connections that end go before those that are read", "[caller]")
+{
+    using enum connection_phase;
+    const auto chosen = [](std::vector<connection_state> all) {
+        return choose_evictions(std::move(all), scarce_resource::connections, 0,
+            now, core::duration(), 3);
+    };
+    CHECK(chosen({ open(1, reading_header, 0), open(2, lingering, 9),
+              open(3, lingering, 8), open(4, lingering, 10) })
+        == numbers{ 3, 2, 1 });
+    // The first was chosen just now, the second had time to end.
+    CHECK(
+        chosen({ open(1, leaving, 10), open(2, leaving, 9) }) == numbers{ 2 });
+}
--- a/tests/caller/http_server_test.cpp
+++ b/tests/caller/http_server_test.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/use_future.hpp>
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <memory>
 #include <vector>
 
@@ -290,6 +291,69 @@
     CHECK(has(busy.read_until("/votes/hold"), "HTTP/1.1 200"));
 }
 
+// Guards against a server that closes the connection of a caller without an
+// answer while others use up its connections.
+TEST_CASE(
+    "a caller behind a crowd of incomplete headers is answered", "[caller]")
+{
+    server_test test(0);
+    std::vector<std::unique_ptr<caller_socket>> crowd;
+    while (crowd.size() < 4 * server_test::max_connections)
+    {
+        crowd.push_back(std::make_unique<caller_socket>(test));
+        crowd.back()->send("GET /vo");
+    }
+    caller_socket ordinary(test);
+    ordinary.send(get("/votes/1"));
+    test.run_ready();
+    boost::system::error_code none_yet;
+    ordinary.socket.non_blocking(true);
+    std::array<char, 1> byte{};
+    ordinary.socket.read_some(asio::buffer(byte), none_yet);
+    CHECK(none_yet == asio::error::would_block);
+    ordinary.socket.non_blocking(false);
+    for (int i = 0; i < 500; ++i)
+    {
+        test.advance_and_run(core::room_check_interval);
+    }
+    CHECK(has(ordinary.read_until("/votes/1"), "HTTP/1.1 200"));
+    test.advance_and_run(caller_limits().get_header_time());
+    for (const auto& each : crowd)
+    {
+        const auto refused = each->read_until("\r\n\r\n");
+        CHECK((has(refused, "HTTP/1.1 503") || has(refused, "HTTP/1.1 408")));
+    }
+}
+
+// Guards against a drain that goes on beyond its limit because there is no room
+// for the callers that wait to be accepted.
+TEST_CASE("a drain with too many callers ends at its limit", "[caller]")
+{
+    server_test test(0);
+    std::vector<std::unique_ptr<caller_socket>> crowd;
+    while (crowd.size() < 4 * server_test::max_connections)
+    {
+        crowd.push_back(std::make_unique<caller_socket>(test));
+        crowd.back()->send(get("/votes/hold"));
+    }
+    test.run_ready();
+    test.server.stop_accepting();
+    test.server.begin_drain();
+    auto drained = asio::co_spawn(test.context,
+        test.server.wait_until_idle(runtime_clock::now() + core::seconds(3)),
+        asio::use_future);
+    test.run_ready();
+    CHECK(drained.wait_for(std::chrono::seconds(0))
+        == std::future_status::timeout);
+    for (int i = 0; i < 300; ++i)
+    {
+        test.advance_and_run(core::room_check_interval);
+    }
+    REQUIRE(
+        drained.wait_for(std::chrono::seconds(0)) == std::future_status::ready);
+    CHECK_FALSE(drained.get());
+}
+
 // Guards against an idle timeout that discards a request which arrived before
 // the connection was closed.
 TEST_CASE("a request at the end of the idle time is answered", "[caller]")
--- a/tests/core/tcp_listener_test.cpp
+++ b/tests/core/tcp_listener_test.cpp
@@ -1,5 +1,7 @@
 #include "core/tcp_listener.hpp"
 
+#include "core/run_due_timers.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
@@ -31,7 +33,7 @@
     REQUIRE(listener.listen(local(0), reason));
     int accepted = 0;
     asio::co_spawn(listener.get_executor(),
-        listener.accept_all(
+        listener.accept_all([] { return true; },
             [&](asio::ip::tcp::socket /*socket*/) {
                 ++accepted;
                 listener.close();
@@ -46,6 +48,45 @@
     CHECK(accepted == 1);
 }
 
+// Guards against a listener that takes connections for which there is no room,
+// and against one that does not take them when there is.
+TEST_CASE("a listener leaves connections waiting without room", "[core]")
+{
+    core::runtime_clock::pause();
+    asio::io_context context;
+    core::tcp_listener listener(context);
+    core::error reason;
+    REQUIRE(listener.listen(local(0), reason));
+    bool has_room = false;
+    int accepted = 0;
+    asio::co_spawn(listener.get_executor(),
+        listener.accept_all([&] { return has_room; },
+            [&](asio::ip::tcp::socket /*socket*/) { ++accepted; },
+            ignore_failure),
+        asio::detached);
+    asio::ip::tcp::socket client(context);
+    client.connect(
+        { asio::ip::make_address("127.0.0.1"), listener.get_port() });
+    const auto pass = [&](core::duration time) {
+        core::runtime_clock::advance(time);
+        testing::run_due_timers(context);
+    };
+    pass(core::room_check_interval);
+    CHECK(accepted == 0);
+    has_room = true;
+    SECTION("until there is room")
+    {
+        pass(core::room_check_interval);
+    }
+    SECTION("when it is closed")
+    {
+        listener.close();
+        pass(core::room_check_interval);
+    }
+    CHECK(accepted == 1);
+    core::runtime_clock::resume();
+}
+
 // Guards against a daemon that starts on the address of another one.
 TEST_CASE("a second listener on a port reports why it fails", "[core]")
 {
