Count the limit of a drain from when the signal arrived

A daemon that is busy for a second when SIGTERM comes counted the limit of its drain from when it handled the signal.

The delay before the listener closes still counts from the handling, because the balancer sees the drain from then on, but ends at the limit. The log says how late the signal was handled (late_ms of daemon.draining).

--- a/src/main/daemon.cpp
+++ b/src/main/daemon.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/strand.hpp>
 #include <easylogging++.h>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -101,19 +102,20 @@
     return true;
 }
 
-asio::awaitable<void> daemon::drain()
+asio::awaitable<void> daemon::drain(core::time_point signalled)
 {
     LOG(INFO) << "draining";
     const settings times
         = this->current_settings.read([](const settings& now) { return now; });
-    const auto close_at = core::runtime_clock::now() + times.get_drain_delay();
+    const auto cut_at
+        = signalled + times.get_drain_delay() + times.get_drain_limit();
     this->view.begin_drain();
     this->callers.begin_closing();
-    co_await core::wait_until(close_at);
+    co_await core::wait_until(
+        std::min(cut_at, core::runtime_clock::now() + times.get_drain_delay()));
     this->callers.stop_accepting();
     this->callers.begin_drain();
-    const bool is_idle = co_await this->callers.wait_until_idle(
-        close_at + times.get_drain_limit());
+    const bool is_idle = co_await this->callers.wait_until_idle(cut_at);
     if (!is_idle)
     {
         this->cut();
--- a/src/main/daemon.hpp
+++ b/src/main/daemon.hpp
@@ -41,8 +41,9 @@
 
     /// Shuts down gracefully: fails the load balancer's check, stops accepting
     /// after the drain delay, waits until all requests have ended or the drain
-    /// limit is over, aborts the remaining requests, and leaves the fleet.
-    boost::asio::awaitable<void> drain();
+    /// limit, which counts from the signal, is over, aborts the remaining
+    /// requests, and leaves the fleet.
+    boost::asio::awaitable<void> drain(core::time_point signalled);
 
     /// Aborts all requests in flight.
     void cut();
--- a/src/main/daemon_program.hpp
+++ b/src/main/daemon_program.hpp
@@ -4,6 +4,7 @@
 #include "main/exit_code.hpp"
 #include "main/settings.hpp"
 #include "main/stop_signal.hpp"
+#include "main/stop_time.hpp"
 #include "operators/event.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -42,6 +43,7 @@
 
     boost::asio::signal_set stops;
     boost::asio::signal_set reloads;
+    stop_time first_stop;
 };
 
 /// Ignores the signals whose default action would end the process: SIGHUP until
@@ -63,12 +65,15 @@
 
 /// Drains the daemon on the first signal, then ends the context.
 template <class Daemon>
-boost::asio::awaitable<void> wait_for_stop(boost::asio::io_context& context,
-    Daemon& daemon, boost::asio::signal_set& stops)
+boost::asio::awaitable<void> wait_for_stop(
+    boost::asio::io_context& context, Daemon& daemon, handled_signals& signals)
 {
     using namespace boost::asio::experimental::awaitable_operators;
-    co_await next_stop_action(stops, false);
-    const auto ended = co_await (daemon.drain() || wait_for_cut(stops));
+    co_await next_stop_action(signals.stops, false);
+    const auto signalled
+        = signals.first_stop.get().value_or(core::runtime_clock::now());
+    const auto ended
+        = co_await (daemon.drain(signalled) || wait_for_cut(signals.stops));
     if (ended.index() != 0)
     {
         daemon.cut();
@@ -131,7 +136,7 @@
     // Each waits for one of two events, which must not end at the same time on
     // two threads.
     boost::asio::co_spawn(boost::asio::make_strand(context),
-        wait_for_stop(context, daemon, signals.stops), boost::asio::detached);
+        wait_for_stop(context, daemon, signals), boost::asio::detached);
     boost::asio::co_spawn(boost::asio::make_strand(context),
         watch_settings(daemon, file, signals.reloads), boost::asio::detached);
     LOG(INFO) << "serving as " << loaded.get_id();
--- a/src/main/entry_daemon.hpp
+++ b/src/main/entry_daemon.hpp
@@ -152,22 +152,24 @@
     }
 
     /// Fails the balancer's check, closes each connection after its next
-    /// answer, and returns when all requests have ended or the drain limit is
-    /// over; then cuts the rest.
-    boost::asio::awaitable<void> drain()
+    /// answer, and returns when all requests have ended or the drain limit,
+    /// which counts from the signal, is over; then cuts the rest.
+    boost::asio::awaitable<void> drain(core::time_point signalled)
     {
         const settings times = this->current_settings.read(
             [](const settings& now) { return now; });
-        operators::write(operators::event::make("daemon.draining")
-                             .with("in_flight", this->callers.in_flight()));
-        this->cut_at = core::runtime_clock::now() + times.get_drain_delay()
-            + times.get_drain_limit();
+        operators::write(
+            operators::event::make("daemon.draining")
+                .with("in_flight", this->callers.in_flight())
+                .with("late_ms", core::runtime_clock::now() - signalled));
+        this->cut_at
+            = signalled + times.get_drain_delay() + times.get_drain_limit();
         this->view.begin_drain();
         this->dispatcher.begin_stop();
         this->callers.begin_closing();
         this->spawn(this->leave_fleet());
-        co_await core::wait_until(
-            core::runtime_clock::now() + times.get_drain_delay());
+        co_await core::wait_until(std::min(this->cut_at.load(),
+            core::runtime_clock::now() + times.get_drain_delay()));
         this->callers.stop_accepting();
         this->callers.begin_drain();
         this->end_intake();
--- a/tests/main/entry_daemon_stop_test.cpp
+++ b/tests/main/entry_daemon_stop_test.cpp
@@ -117,8 +117,8 @@
             co_await wait(core::milliseconds(5));
         }
         before_drain = counting_store::watches;
-        boost::asio::co_spawn(
-            context, daemon.drain(), [&](const std::exception_ptr& failure) {
+        boost::asio::co_spawn(context, daemon.drain(core::runtime_clock::now()),
+            [&](const std::exception_ptr& failure) {
                 CHECK_FALSE(failure);
                 context.stop();
             });
@@ -141,3 +141,38 @@
     CHECK(at_close > before_drain);
     CHECK(counting_store::watches == at_close);
 }
+
+// Guards against a drain that counts its limit from when a busy daemon handles
+// the signal, and so goes on until SIGKILL.
+TEST_CASE("a drain that begins late ends in time", "[main]")
+{
+    const auto ports = test::find_free_ports(4);
+    static auto& context = *new boost::asio::io_context(1);
+    // Never destroyed, as in the program: suspended coroutines refer to it.
+    static auto* const kept = new main::entry_daemon<tested_platform>(
+        context, make_settings(ports));
+    auto& daemon = *kept;
+    core::error reason;
+    REQUIRE(daemon.start(reason));
+    boost::asio::ip::tcp::socket caller(context);
+    caller.connect({ boost::asio::ip::address_v4::loopback(), ports[0] });
+    // An unfinished request keeps the drain waiting until its limit.
+    boost::asio::write(caller, boost::asio::buffer(std::string("GET / HT")));
+    const auto begin = core::runtime_clock::now();
+    const auto signalled = begin - core::seconds(1);
+    bool is_drained = false;
+    boost::asio::co_spawn(context, daemon.drain(signalled),
+        [&](const std::exception_ptr& failure) {
+            CHECK_FALSE(failure);
+            is_drained = true;
+        });
+    // The drain delay and the drain limit of the settings.
+    core::runtime_timer limit(context, begin + core::milliseconds(600));
+    bool was_drained = false;
+    limit.async_wait([&](const boost::system::error_code& /*failure*/) {
+        was_drained = is_drained;
+        context.stop();
+    });
+    context.run();
+    CHECK(was_drained);
+}
