End the stream together with the last answer

The answer was written, and the sending side shut down when the coroutine ran again: behind all that was ready by then, and after a pause of the process. Both are now done in one step if the kernel takes the whole answer.

--- a/src/caller/caller_connection.cpp
+++ b/src/caller/caller_connection.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http/write.hpp>
 
 #include <sys/socket.h>
 
@@ -116,6 +117,23 @@
     return count < 0 && errno != EAGAIN && errno != EWOULDBLOCK;
 }
 
+boost::system::error_code caller_connection::write_last(last_answer& answer)
+{
+    boost::system::error_code failure;
+    this->socket.non_blocking(true, failure);
+    while (!failure && !answer.is_done())
+    {
+        boost::beast::http::write_some(this->socket, answer, failure);
+    }
+    if (answer.is_done())
+    {
+        boost::system::error_code ignored;
+        this->socket.shutdown(asio::socket_base::shutdown_send, ignored);
+    }
+    return failure == asio::error::would_block ? boost::system::error_code()
+                                               : failure;
+}
+
 asio::awaitable<void> caller_connection::lingering_close()
 {
     boost::system::error_code ignored;
--- a/src/caller/caller_connection.hpp
+++ b/src/caller/caller_connection.hpp
@@ -3,6 +3,8 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/serializer.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <boost/system/error_code.hpp>
 
 #include <cstddef>
@@ -13,6 +15,10 @@
 /// the connection is not read until the request has been answered.
 inline constexpr std::size_t max_pipelined_bytes = 16384;
 
+/// An answer that is being written.
+using last_answer
+    = boost::beast::http::response_serializer<boost::beast::http::string_body>;
+
 /// A connection from a caller. Used on the socket's strand only.
 class caller_connection {
 public:
@@ -36,6 +42,11 @@
     /// the kernel of a closed one answers with a reset (RFC 9110, 15.2).
     boost::asio::awaitable<boost::system::error_code> wait_for_reset();
 
+    /// Writes as much of the last answer as the kernel takes at once, and shuts
+    /// down the sending side behind a whole one: a caller that has read the
+    /// answer must not find the connection open.
+    boost::system::error_code write_last(last_answer& answer);
+
     /// Shuts down the sending side and reads until the caller has closed its
     /// side. An immediate close with unread bytes would make the kernel reset
     /// the connection, and the caller could lose the last response.
--- a/src/caller/http_server.hpp
+++ b/src/caller/http_server.hpp
@@ -414,9 +414,18 @@
         const bool is_kept = is_keep_alive && !this->connections.is_draining()
             && !this->connections.is_closing();
         outgoing.keep_alive(is_kept);
-        const auto failure = co_await this->complete_within(write_timeout,
-            boost::beast::http::async_write(
-                connection.socket, outgoing, as_result()));
+        last_answer answer(outgoing);
+        boost::system::error_code failure;
+        if (!is_kept)
+        {
+            failure = connection.write_last(answer);
+        }
+        if (!failure && !answer.is_done())
+        {
+            failure = co_await this->complete_within(write_timeout,
+                boost::beast::http::async_write(
+                    connection.socket, answer, as_result()));
+        }
         if (failure)
         {
             log_unanswered(connection, id, "write", failure);
--- a/tests/caller/http_server_stop_test.cpp
+++ b/tests/caller/http_server_stop_test.cpp
@@ -228,3 +228,20 @@
         CHECK(test.handler.started == 0);
     }
 }
+
+// Guards against a connection that stays open behind its last answer while the
+// daemon has other work: a request that the caller sends on it is lost.
+TEST_CASE("the end of the stream comes with the last answer", "[caller]")
+{
+    server_test test(0);
+    caller_socket caller(test);
+    caller.send(get("/votes/1", "Connection: close\r\n"));
+    const auto answered = [&] { return caller.socket.available() > 0; };
+    while (!answered())
+    {
+        test.context.run_one();
+    }
+    CHECK(has(caller.read_until("/votes/1"), "HTTP/1.1 200"));
+    caller.socket.non_blocking(true);
+    CHECK(caller.read_all() == "");
+}
