Keep places for refusals while refused callers stay connected

While all places for served connections run requests, a caller that was refused and does not close its connection makes place for the next one: its connection was chosen to be closed after 250 ms, and the newcomer was served beyond the limit. Repeated, all connections run requests, and new callers wait in the kernel's queue instead of being refused at once.

Connections that are served are counted now, without those over the limit and those that end.

--- a/src/caller/connection_limit.cpp
+++ b/src/caller/connection_limit.cpp
@@ -31,8 +31,11 @@
 
 bool connection_limit::has_capacity()
 {
-    return this->connections.size() < this->max_served
-        || this->evict(min_reading_time);
+    const auto has_place = [this] {
+        return this->connections.size() < this->max_served
+            || this->connections.count_served() < this->max_served;
+    };
+    return has_place() || (this->evict(min_reading_time) && has_place());
 }
 
 bool connection_limit::has_room()
--- a/src/caller/connection_table.cpp
+++ b/src/caller/connection_table.cpp
@@ -79,6 +79,19 @@
     });
 }
 
+std::size_t connection_table::count_served() const
+{
+    const auto all = this->connections.entries();
+    const auto count
+        = std::count_if(all.begin(), all.end(), [](const auto& each) {
+              const entry& open = each.second;
+              return !open.connection->is_over_limit
+                  && open.phase != connection_phase::lingering
+                  && open.phase != connection_phase::leaving;
+          });
+    return static_cast<std::size_t>(count);
+}
+
 bool connection_table::evict(scarce_resource scarce, std::uint64_t number,
     core::duration min_time, std::size_t count)
 {
--- a/src/caller/connection_table.hpp
+++ b/src/caller/connection_table.hpp
@@ -41,6 +41,9 @@
     void begin_lingering(std::uint64_t number);
 
     std::size_t size() const { return this->connections.size(); }
+    /// Connections whose requests are served: not those over the limit, nor
+    /// those that end.
+    std::size_t count_served() const;
 
     /// Closes connections other than `number`, `count` at most, to free the
     /// resource; requests that are being read on them are refused. Chooses
--- a/tests/caller/http_server_test.cpp
+++ b/tests/caller/http_server_test.cpp
@@ -325,6 +325,36 @@
     }
 }
 
+// Guards against refused callers that keep their connections and so make place
+// for running requests, until there is none to refuse others.
+TEST_CASE("a refused connection makes no place for another one", "[caller]")
+{
+    constexpr int max_served = 16;
+    server_test test(0);
+    http_server<one_route, echo_handler> server(test.context, test.routes,
+        test.handler, body_memory::unlimited(), max_served);
+    core::error reason;
+    REQUIRE(
+        server.listen(*core::endpoint::create("127.0.0.1:0", reason), reason));
+    std::vector<std::unique_ptr<caller_socket>> callers;
+    const auto call = [&](const std::string& target) {
+        callers.push_back(std::make_unique<caller_socket>(server.get_port()));
+        callers.back()->send(get(target));
+        test.run_ready();
+    };
+    for (int i = 0; i < max_served; ++i)
+    {
+        call("/votes/hold");
+    }
+    for (int i = 0; i < 4; ++i)
+    {
+        call("/votes/1");
+        test.advance_and_run(min_lingering_time);
+        CHECK(has(callers.back()->read_until("\r\n\r\n"), "HTTP/1.1 503"));
+    }
+    CHECK(test.handler.started == max_served);
+}
+
 // Guards against a drain that goes on beyond its limit because there is no room
 // for the callers that wait to be accepted.
 TEST_CASE("a drain with too many callers ends at its limit", "[caller]")
