Close a connection for others only if it is still the one chosen

A connection that was idle for a second is chosen to be closed when connections are scarce. Until its strand ran the closing, its next request could have been served, and the connection was closed with the one behind it on its way. A request that had begun to run could also be marked as leaving.

The choice takes effect only if phase and time are those that were compared, and again on the connection's strand only if nothing happened since.

--- a/src/caller/connection_table.cpp
+++ b/src/caller/connection_table.cpp
@@ -114,17 +114,39 @@
     }
     const auto chosen = choose_evictions(
         std::move(open), scarce, number, now, min_time, count);
+    std::size_t evicted = 0;
     for (const std::uint64_t each : chosen)
     {
-        const auto evicted = this->connections.find(each);
-        if (evicted)
-        {
-            this->set_phase(each, connection_phase::leaving, now);
-            asio::post(evicted->connection->socket.get_executor(),
-                [connection = evicted->connection] { connection->evict(); });
-        }
+        const auto seen = std::find_if(all.begin(), all.end(),
+            [each](const auto& entry) { return entry.first == each; });
+        evicted += this->begin_leaving(each, seen->second) ? 1 : 0;
     }
-    return !chosen.empty();
+    return evicted > 0;
+}
+
+bool connection_table::begin_leaving(std::uint64_t number, const entry& seen)
+{
+    bool is_unchanged = false;
+    this->connections.update(number, [&](const std::optional<entry>& current) {
+        is_unchanged = current && current->phase == seen.phase
+            && current->since == seen.since;
+        return is_unchanged ? std::optional(entry{ seen.connection,
+                   connection_phase::leaving, core::runtime_clock::now() })
+                            : current;
+    });
+    if (is_unchanged)
+    {
+        asio::post(seen.connection->socket.get_executor(),
+            [this, number, connection = seen.connection] {
+                // Its next request may have been served meanwhile.
+                const auto current = this->connections.find(number);
+                if (current && current->phase == connection_phase::leaving)
+                {
+                    connection->evict();
+                }
+            });
+    }
+    return is_unchanged;
 }
 
 void connection_table::begin_drain()
--- a/src/caller/connection_table.hpp
+++ b/src/caller/connection_table.hpp
@@ -85,6 +85,8 @@
     /// Without a time, the current one is kept.
     void set_phase(std::uint64_t number, connection_phase phase,
         std::optional<core::time_point> since);
+    /// Closes a connection, unless it has changed since it was `seen`.
+    bool begin_leaving(std::uint64_t number, const entry& seen);
     void notify_if_empty();
     boost::asio::awaitable<bool> wait_on_strand(core::time_point limit);
 
