Keep small bodies in chunks in the part for small ones

A body in chunks of more than 20 KB reserved 80 KB, more than the part of the memory for small bodies takes, and was refused while others held the part for large ones. It now grows to 64 KB at most while it fits.

--- a/src/caller/body_reader.cpp
+++ b/src/caller/body_reader.cpp
@@ -99,8 +99,12 @@
     {
         return true;
     }
+    // A body stays in the part for small ones for as long as it can.
+    const std::uint64_t most = needed <= max_small_body_bytes
+        ? std::min<std::uint64_t>(limit, max_small_body_bytes)
+        : limit;
     const std::uint64_t grown = std::min<std::uint64_t>(
-        limit, std::max<std::uint64_t>(needed, 2 * body.capacity()));
+        most, std::max<std::uint64_t>(needed, 2 * body.capacity()));
     const bool is_reserved = this->reserve(number, reserved, grown);
     if (is_reserved)
     {
--- a/tests/caller/http_server_test.cpp
+++ b/tests/caller/http_server_test.cpp
@@ -355,6 +355,35 @@
     CHECK(test.handler.started == max_served);
 }
 
+// Guards against small bodies in chunks that need the memory of large ones,
+// which others may hold.
+TEST_CASE(
+    "a small body in chunks fits into the part for small ones", "[caller]")
+{
+    server_test test(0);
+    http_server<one_route, echo_handler> server(test.context, test.routes,
+        test.handler,
+        body_memory::make(core::memory_budget::make(max_small_body_bytes),
+            core::memory_budget::make(0)));
+    core::error reason;
+    REQUIRE(
+        server.listen(*core::endpoint::create("127.0.0.1:0", reason), reason));
+    caller_socket caller(server.get_port());
+    constexpr std::size_t chunk_bytes = 4000;
+    const std::string chunk
+        = "fa0\r\n" + std::string(chunk_bytes, 'x') + "\r\n";
+    caller.send("POST /votes/large HTTP/1.1\r\nHost: a\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n");
+    for (std::size_t sent = 0; sent < 10 * chunk_bytes; sent += chunk_bytes)
+    {
+        caller.send(chunk);
+        test.run_ready();
+    }
+    caller.send("0\r\n\r\n");
+    test.run_ready();
+    CHECK(has(caller.read_until("\r\n\r\n"), "HTTP/1.1 200"));
+}
+
 // Guards against a drain that goes on beyond its limit because there is no room
 // for the callers that wait to be accepted.
 TEST_CASE("a drain with too many callers ends at its limit", "[caller]")
--- a/tests/caller/server_fixture.hpp
+++ b/tests/caller/server_fixture.hpp
@@ -27,7 +27,8 @@
         core::error reason;
         const auto kind = operators::kind_settings::create(
             core::kind_id("vote"), core::service_id("ballots"), false,
-            core::rank::urgent, core::seconds(5), core::byte_count(10), reason);
+            core::rank::urgent, core::seconds(5),
+            core::byte_count(path.ends_with("large") ? 1U << 20U : 10), reason);
         return path.starts_with("/votes") ? kind : std::nullopt;
     }
 
@@ -150,9 +151,13 @@
 class caller_socket {
 public:
     explicit caller_socket(const server_test& test)
+        : caller_socket(test.server.get_port())
     {
-        this->socket.connect(
-            { asio::ip::make_address("127.0.0.1"), test.server.get_port() });
+    }
+
+    explicit caller_socket(std::uint16_t port)
+    {
+        this->socket.connect({ asio::ip::make_address("127.0.0.1"), port });
     }
 
     void send(const std::string& text)
