Accept those that wait at a stop although a descriptor is missing

A stop takes the connections that wait in the kernel's queue, because the kernel would reset them. A failed accept, for want of a descriptor, counted as the end of the queue: all that waited were reset.

--- a/src/core/tcp_listener.cpp
+++ b/src/core/tcp_listener.cpp
@@ -88,13 +88,23 @@
     co_return true;
 }
 
-std::optional<tcp_listener::tcp::socket> tcp_listener::accept_waiting()
+tcp_listener::accept_result tcp_listener::accept_waiting()
 {
     boost::system::error_code failure;
     this->acceptor.non_blocking(true, failure);
     tcp::socket accepted(asio::make_strand(this->context));
     this->acceptor.accept(accepted, failure);
-    return failure ? std::nullopt : std::optional(std::move(accepted));
+    return { failure,
+        failure ? std::nullopt : std::optional(std::move(accepted)) };
+}
+
+bool tcp_listener::is_passing(boost::system::error_code failure)
+{
+    return failure == asio::error::no_descriptors
+        || failure == boost::system::errc::too_many_files_open_in_system
+        || failure == asio::error::no_buffer_space
+        || failure == asio::error::no_memory
+        || failure == asio::error::connection_aborted;
 }
 
 void tcp_listener::end_accepting()
--- a/src/core/tcp_listener.hpp
+++ b/src/core/tcp_listener.hpp
@@ -76,13 +76,26 @@
             }
             co_await wait_until(runtime_clock::now() + accept_retry_delay);
         }
-        while (auto waiting = this->accept_waiting())
+        while (true)
         {
-            while (!has_room())
+            if (!has_room())
             {
                 co_await wait_until(runtime_clock::now() + room_check_interval);
+                continue;
+            }
+            auto waiting = this->accept_waiting();
+            if (waiting.accepted)
+            {
+                on_accepted(std::move(*waiting.accepted));
+            }
+            else if (is_passing(waiting.failure))
+            {
+                co_await wait_until(runtime_clock::now() + accept_retry_delay);
+            }
+            else
+            {
+                break;
             }
-            on_accepted(std::move(*waiting));
         }
         this->end_accepting();
     }
@@ -102,8 +115,16 @@
     std::uint16_t get_port() const { return this->port; }
 
 private:
-    /// A connection that waits to be accepted, if there is one.
-    std::optional<tcp::socket> accept_waiting();
+    struct accept_result {
+        boost::system::error_code failure;
+        std::optional<tcp::socket> accepted;
+    };
+
+    /// A connection that waits to be accepted; fails if there is none.
+    accept_result accept_waiting();
+    /// Whether accepting again may succeed although none was accepted.
+    static bool is_passing(boost::system::error_code failure);
+
     void end_accepting();
     /// True, so that it can have a deadline.
     boost::asio::awaitable<bool> wait_for_end();
--- a/tests/core/tcp_listener_test.cpp
+++ b/tests/core/tcp_listener_test.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
 
+#include <sys/resource.h>
+
 using namespace pollenward;
 namespace asio = boost::asio;
 
@@ -87,6 +89,45 @@
     core::runtime_clock::resume();
 }
 
+// Guards against a stop that resets the connections that wait, because the
+// process has no descriptor for the moment.
+TEST_CASE("a listener without descriptors accepts later", "[core]")
+{
+    core::runtime_clock::pause();
+    asio::io_context context;
+    core::tcp_listener listener(context);
+    core::error reason;
+    REQUIRE(listener.listen(local(0), reason));
+    asio::ip::tcp::socket client(context);
+    client.connect(
+        { asio::ip::make_address("127.0.0.1"), listener.get_port() });
+    int accepted = 0;
+    int failures = 0;
+    asio::co_spawn(listener.get_executor(),
+        listener.accept_all([] { return true; },
+            [&](asio::ip::tcp::socket /*socket*/) { ++accepted; },
+            [&](const core::error& /*cause*/) { ++failures; }),
+        asio::detached);
+    const auto pass = [&] {
+        core::runtime_clock::advance(core::accept_retry_delay);
+        testing::run_due_timers(context);
+    };
+    rlimit usual{};
+    ::getrlimit(RLIMIT_NOFILE, &usual);
+    const rlimit none{ 0, usual.rlim_max };
+    ::setrlimit(RLIMIT_NOFILE, &none);
+    pass();
+    listener.close();
+    pass();
+    pass();
+    ::setrlimit(RLIMIT_NOFILE, &usual);
+    CHECK(accepted == 0);
+    CHECK(failures == 1);
+    pass();
+    CHECK(accepted == 1);
+    core::runtime_clock::resume();
+}
+
 // Guards against a daemon that starts on the address of another one.
 TEST_CASE("a second listener on a port reports why it fails", "[core]")
 {
