Go on accepting after a connection that cannot be served

An exception while a new connection is set up, such as for want of memory, ended the loop that accepts for good: the daemon took no caller any more and said nothing. It is reported now, and the loop goes on.

"a listener goes on after a connection that fails" fails on.

--- a/src/core/tcp_listener.hpp
+++ b/src/core/tcp_listener.hpp
@@ -14,6 +14,7 @@
 #include <atomic>
 #include <concepts>
 #include <cstdint>
+#include <exception>
 #include <optional>
 #include <string>
 #include <utility>
@@ -62,7 +63,7 @@
             if (!failure)
             {
                 has_failed = false;
-                on_accepted(std::move(socket));
+                this->hand_over(std::move(socket), on_accepted, on_failure);
                 continue;
             }
             if (this->closing)
@@ -86,7 +87,8 @@
             auto waiting = this->accept_waiting();
             if (waiting.accepted)
             {
-                on_accepted(std::move(*waiting.accepted));
+                this->hand_over(
+                    std::move(*waiting.accepted), on_accepted, on_failure);
             }
             else if (is_passing(waiting.failure))
             {
@@ -125,6 +127,22 @@
     /// Whether accepting again may succeed although none was accepted.
     static bool is_passing(boost::system::error_code failure);
 
+    /// An exception must not end the loop that accepts.
+    template <class OnAccepted, class OnFailure>
+    void hand_over(
+        tcp::socket socket, OnAccepted& on_accepted, OnFailure& on_failure)
+    {
+        try
+        {
+            on_accepted(std::move(socket));
+        }
+        catch (const std::exception& failure)
+        {
+            on_failure(error::make(
+                "serve connection", this->local.str(), failure.what()));
+        }
+    }
+
     void end_accepting();
     /// True, so that it can have a deadline.
     boost::asio::awaitable<bool> wait_for_end();
--- a/tests/core/tcp_listener_test.cpp
+++ b/tests/core/tcp_listener_test.cpp
@@ -8,6 +8,8 @@
 
 #include <sys/resource.h>
 
+#include <stdexcept>
+
 using namespace pollenward;
 namespace asio = boost::asio;
 
@@ -128,6 +130,39 @@
     core::runtime_clock::resume();
 }
 
+// Guards against a listener that ends with the first connection that cannot be
+// served.
+TEST_CASE("a listener goes on after a connection that fails", "[core]")
+{
+    asio::io_context context;
+    core::tcp_listener listener(context);
+    core::error reason;
+    REQUIRE(listener.listen(local(0), reason));
+    int accepted = 0;
+    int failures = 0;
+    asio::co_spawn(listener.get_executor(),
+        listener.accept_all([] { return true; },
+            [&](asio::ip::tcp::socket /*socket*/) {
+                if (++accepted == 1)
+                {
+                    throw std::runtime_error("no memory");
+                }
+                listener.close();
+            },
+            [&](const core::error& /*cause*/) { ++failures; }),
+        asio::detached);
+    asio::ip::tcp::socket first(context);
+    asio::ip::tcp::socket second(context);
+    for (auto* client : { &first, &second })
+    {
+        client->connect(
+            { asio::ip::make_address("127.0.0.1"), listener.get_port() });
+    }
+    context.run();
+    CHECK(accepted == 2);
+    CHECK(failures == 1);
+}
+
 // Guards against a daemon that starts on the address of another one.
 TEST_CASE("a second listener on a port reports why it fails", "[core]")
 {
