Refuse what has arrived although a drain begins at its limit

When a signal was handled so late that the limit of the drain had passed, the daemon ended without reading the requests that waited on its connections and in the kernel's queue.

--- a/src/main/daemon.cpp
+++ b/src/main/daemon.cpp
@@ -115,7 +115,8 @@
         std::min(cut_at, core::runtime_clock::now() + times.get_drain_delay()));
     this->callers.stop_accepting();
     this->callers.begin_drain();
-    const bool is_idle = co_await this->callers.wait_until_idle(cut_at);
+    const bool is_idle = co_await this->callers.wait_until_idle(
+        std::max(cut_at, core::runtime_clock::now() + last_read_time));
     if (!is_idle)
     {
         this->cut();
--- a/src/main/daemon.hpp
+++ b/src/main/daemon.hpp
@@ -18,6 +18,7 @@
 #include "main/replicated_guard.hpp"
 #include "main/roster_updater.hpp"
 #include "main/settings.hpp"
+#include "main/stop_time.hpp"
 #include "main/worker_standings.hpp"
 #include "operators/admin_server.hpp"
 #include "operators/metrics.hpp"
--- a/src/main/entry_daemon.hpp
+++ b/src/main/entry_daemon.hpp
@@ -14,6 +14,7 @@
 #include "main/replicated_guard.hpp"
 #include "main/settings.hpp"
 #include "main/stale_daemon_remover.hpp"
+#include "main/stop_time.hpp"
 #include "main/store_state_synchronizer.hpp"
 #include "main/zone_synchronizer.hpp"
 #include "operators/admin_server.hpp"
@@ -173,8 +174,8 @@
         this->callers.stop_accepting();
         this->callers.begin_drain();
         this->end_intake();
-        const bool is_idle
-            = co_await this->callers.wait_until_idle(this->cut_at.load());
+        const bool is_idle = co_await this->callers.wait_until_idle(std::max(
+            this->cut_at.load(), core::runtime_clock::now() + last_read_time));
         if (!is_idle)
         {
             co_await this->end_requests();
--- a/src/main/stop_time.hpp
+++ b/src/main/stop_time.hpp
@@ -11,6 +11,10 @@
 
 namespace pollenward::main {
 
+/// In which a drain that begins late still reads and refuses the requests that
+/// have arrived.
+inline constexpr core::milliseconds last_read_time{ 100 };
+
 /// When the first signal that ends the daemon arrived. It is noted on a thread
 /// of its own, because the daemon's threads can be busy for a second.
 class stop_time {
--- a/tests/main/entry_daemon_stop_test.cpp
+++ b/tests/main/entry_daemon_stop_test.cpp
@@ -142,37 +142,62 @@
     CHECK(counting_store::watches == at_close);
 }
 
-// Guards against a drain that counts its limit from when a busy daemon handles
-// the signal, and so goes on until SIGKILL.
-TEST_CASE("a drain that begins late ends in time", "[main]")
+namespace {
+
+struct late_drain {
+    /// Before the drain delay and the drain limit would be over if they counted
+    /// from its begin.
+    bool is_in_time = false;
+    bool has_answered = false;
+};
+
+/// Begins a drain a second after the signal, with a caller that has sent
+/// `bytes`.
+late_drain drain_late(const std::string& bytes)
 {
     const auto ports = test::find_free_ports(4);
-    static auto& context = *new boost::asio::io_context(1);
-    // Never destroyed, as in the program: suspended coroutines refer to it.
-    static auto* const kept = new main::entry_daemon<tested_platform>(
+    // Never destroyed, as in the program: suspended coroutines refer to them.
+    auto& context = *new boost::asio::io_context(1);
+    auto& daemon = *new main::entry_daemon<tested_platform>(
         context, make_settings(ports));
-    auto& daemon = *kept;
     core::error reason;
     REQUIRE(daemon.start(reason));
     boost::asio::ip::tcp::socket caller(context);
     caller.connect({ boost::asio::ip::address_v4::loopback(), ports[0] });
-    // An unfinished request keeps the drain waiting until its limit.
-    boost::asio::write(caller, boost::asio::buffer(std::string("GET / HT")));
+    boost::asio::write(caller, boost::asio::buffer(bytes));
     const auto begin = core::runtime_clock::now();
-    const auto signalled = begin - core::seconds(1);
+    late_drain seen;
     bool is_drained = false;
-    boost::asio::co_spawn(context, daemon.drain(signalled),
+    boost::asio::co_spawn(context, daemon.drain(begin - core::seconds(1)),
         [&](const std::exception_ptr& failure) {
             CHECK_FALSE(failure);
             is_drained = true;
+            seen.has_answered = caller.available() > 0;
         });
-    // The drain delay and the drain limit of the settings.
     core::runtime_timer limit(context, begin + core::milliseconds(600));
-    bool was_drained = false;
     limit.async_wait([&](const boost::system::error_code& /*failure*/) {
-        was_drained = is_drained;
+        seen.is_in_time = is_drained;
         context.stop();
     });
     context.run();
-    CHECK(was_drained);
+    return seen;
+}
+
+} // namespace
+
+// Guards against a drain that counts its limit from when a busy daemon handles
+// the signal, and so goes on until SIGKILL.
+TEST_CASE("a drain that begins late ends in time", "[main]")
+{
+    // An unfinished request keeps the drain waiting until its limit.
+    CHECK(drain_late("GET / HT").is_in_time);
+}
+
+// Guards against a daemon that ends before it has read what had arrived when a
+// late drain began.
+TEST_CASE("a drain that begins late answers what has arrived", "[main]")
+{
+    const late_drain seen = drain_late("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(seen.has_answered);
+    CHECK(seen.is_in_time);
 }
