Bound what a connection of operators holds

The buffer holds 32 KB now, and a response has 60 s.

The time limit of the response has no test. The number of connections still has no limit: the balancer's check uses the same port.

--- a/src/operators/admin_http.cpp
+++ b/src/operators/admin_http.cpp
@@ -25,7 +25,8 @@
 namespace {
 
     constexpr auto token = asio::as_tuple(asio::use_awaitable);
-    /// A connection is closed if no complete request arrives within this time.
+    /// A connection is closed if no complete request arrives within this time,
+    /// or a response is not read.
     constexpr core::seconds idle_limit{ 60 };
     /// In bytes. Values in the store are up to 1 MB; no patch needs more.
     constexpr std::uint64_t body_limit = 1024UL * 1024;
@@ -188,9 +189,10 @@
     response.version(version);
     response.keep_alive(is_persistent);
     response.prepare_payload();
-    const auto [failure, count]
-        = co_await http::async_write(socket, response, token);
-    co_return is_persistent && !failure && count > 0;
+    const auto done = co_await core::with_deadline(
+        http::async_write(socket, response, token),
+        core::runtime_clock::now() + idle_limit);
+    co_return is_persistent&& done && !std::get<0>(*done);
 }
 
 } // namespace pollenward::operators
--- a/src/operators/admin_http.hpp
+++ b/src/operators/admin_http.hpp
@@ -14,6 +14,7 @@
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -35,6 +36,9 @@
     wrong_method
 };
 
+/// Bytes of a connection that are read and not parsed yet.
+inline constexpr std::size_t max_admin_buffer_bytes = 32768;
+
 admin_resource find_admin_resource(const admin_request& request);
 
 /// Reads a patch from the headers Patch-Id and Patch-Version with the merge
@@ -56,7 +60,8 @@
 boost::asio::awaitable<std::optional<admin_request>> read_request(
     boost::asio::ip::tcp::socket& socket, boost::beast::flat_buffer& buffer);
 
-/// Writes a response; false if the connection must be closed.
+/// Writes a response; false if the connection must be closed, also because the
+/// peer has not read it in time.
 boost::asio::awaitable<bool> write_response(
     boost::asio::ip::tcp::socket& socket, admin_response response,
     unsigned version, bool is_persistent);
--- a/src/operators/admin_server.hpp
+++ b/src/operators/admin_server.hpp
@@ -84,7 +84,7 @@
 
     boost::asio::awaitable<void> serve(tcp::socket socket)
     {
-        boost::beast::flat_buffer buffer;
+        boost::beast::flat_buffer buffer(max_admin_buffer_bytes);
         bool is_open = true;
         while (is_open)
         {
--- a/tests/operators/admin_server_test.cpp
+++ b/tests/operators/admin_server_test.cpp
@@ -160,3 +160,38 @@
     test.backend.reply = patch_reply::make(patch_outcome::unknown, {});
     CHECK(test.call(with_headers).result_int() == 504);
 }
+
+// Guards against trailer fields without end, which are kept until they are
+// whole.
+TEST_CASE("a trailer without end closes the connection", "[operators]")
+{
+    fixture test;
+    const std::string begin = "POST /patch HTTP/1.1\r\nHost: a\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n0\r\n";
+    const std::string field
+        = "Trailer-Field: " + std::string(1000, 'x') + "\r\n";
+    // A megabyte, if the server reads it.
+    constexpr int fields = 1000;
+    bool is_closed = false;
+    bool is_over = false;
+    const auto send = [&]() -> asio::awaitable<void> {
+        boost::system::error_code failure;
+        const auto send_all = [&](const std::string& text) {
+            return asio::async_write(test.socket, asio::buffer(text),
+                asio::redirect_error(asio::use_awaitable, failure));
+        };
+        co_await send_all(begin);
+        for (int i = 0; i < fields && !failure; ++i)
+        {
+            co_await send_all(field);
+        }
+        is_closed = bool(failure);
+        is_over = true;
+    };
+    asio::co_spawn(test.context, send, asio::detached);
+    while (!is_over)
+    {
+        test.context.run_one();
+    }
+    CHECK(is_closed);
+}
