Show that a service stays down after a flood at its return

Cause: a worker's 504 at a deadline of some milliseconds counts as its failure, so that all sound workers look faulty and requests wait until their time is nearly over.

--- a/review/kit-2/kit.cpp
+++ b/review/kit-2/kit.cpp
@@ -158,7 +158,16 @@
 
 connection::~connection()
 {
-    ::close(this->descriptor);
+    this->close();
+}
+
+void connection::close()
+{
+    const int open = this->descriptor.exchange(-1);
+    if (open >= 0)
+    {
+        ::close(open);
+    }
 }
 
 bool connection::fill()
@@ -578,7 +587,13 @@
 void arrivals::set_answered(std::size_t index)
 {
     const std::lock_guard lock(this->mutex);
-    this->list[index].is_answered = true;
+    this->list[index].is_answered_in_time = true;
+}
+
+void arrivals::set_ended(std::size_t index)
+{
+    const std::lock_guard lock(this->mutex);
+    this->list[index].ended_at = now();
 }
 
 std::vector<arrival> arrivals::all() const
@@ -728,6 +743,7 @@
         sleep_for(std::min(0.01, end - now()));
         is_dropped = peer->has_peer_closed();
     }
+    this->seen.set_ended(index);
     int now_running = 0;
     int now_waiting = 0;
     {
@@ -747,8 +763,12 @@
         return false;
     }
     const bool is_late = now() >= deadline;
-    this->seen.set_answered(index);
-    record("worker " + this->id + " answers " + request_id);
+    if (!is_late)
+    {
+        this->seen.set_answered(index);
+    }
+    record(
+        "worker " + this->id + (is_late ? " ends " : " answers ") + request_id);
     return peer->write(response_text(is_late ? 504 : 200,
         { { "Request-Id", request_id },
             { "Server-Signature", "s." + this->id + "." + request_id },
@@ -792,8 +812,13 @@
     {
         replace_all(text, "{{" + name + "}}", value);
     }
-    const std::string settings = work_folder + "/settings.toml";
-    std::ofstream(settings) << text;
+    this->settings = work_folder + "/settings.toml";
+    std::ofstream(this->settings) << text;
+    this->start();
+}
+
+void daemon_process::start()
+{
     const std::string log = work_folder + "/daemon.log";
     const pid_t parent = ::getpid();
     this->pid = ::fork();
@@ -805,10 +830,10 @@
             ::_exit(1);
         }
         const int output
-            = ::open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
+            = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(output, STDOUT_FILENO);
         ::dup2(output, STDERR_FILENO);
-        ::setenv("POLLENWARD_SETTINGS", settings.c_str(), 1);
+        ::setenv("POLLENWARD_SETTINGS", this->settings.c_str(), 1);
         ::setenv("POLLENWARD_MEMORY_MB", "260", 1);
         ::execl(program, program, nullptr);
         ::_exit(127);
@@ -818,10 +843,16 @@
 }
 
 daemon_process::~daemon_process()
+{
+    this->kill();
+}
+
+void daemon_process::kill()
 {
     ::kill(this->pid, SIGKILL);
     ::waitpid(this->pid, nullptr, 0);
     running_daemon = -1;
+    record("daemon front-zone-a-1 is killed");
 }
 
 bool daemon_process::is_running() const
--- a/review/kit-2/kit.hpp
+++ b/review/kit-2/kit.hpp
@@ -74,11 +74,13 @@
     bool has_peer_closed() const;
     /// Ends the connection with a reset; the owner closes it later.
     void reset();
+    /// Ends the connection in order, as close() of a process does.
+    void close();
 
 private:
     bool fill();
 
-    int descriptor;
+    std::atomic<int> descriptor;
     std::string unread;
     std::mutex mutex;
 };
@@ -175,7 +177,9 @@
     bool has_run = false;
     /// Whether the worker's end broke it off.
     bool is_broken_off = false;
-    bool is_answered = false;
+    bool is_answered_in_time = false;
+    /// When the worker stopped its work on it; 0 before.
+    double ended_at = 0;
 };
 
 /// All requests that reached workers.
@@ -185,6 +189,7 @@
     void set_run(std::size_t index);
     void set_broken_off(std::size_t index);
     void set_answered(std::size_t index);
+    void set_ended(std::size_t index);
     std::vector<arrival> all() const;
 
 private:
@@ -252,6 +257,9 @@
     ~daemon_process();
 
     std::uint16_t get_front() const { return this->front; }
+    /// Starts it, as the constructor does, after kill().
+    void start();
+    void kill();
     /// Waits until it says that it is ready; false after 20 s.
     bool wait_until_ready() const;
     bool is_running() const;
@@ -260,6 +268,7 @@
 private:
     std::uint16_t front;
     std::uint16_t readiness;
+    std::string settings;
     pid_t pid = -1;
 };
 
