--- a/review/kit-2/kit.cpp
+++ b/review/kit-2/kit.cpp
@@ -857,7 +857,7 @@
 
 bool daemon_process::is_running() const
 {
-    return ::kill(this->pid, 0) == 0;
+    return ::waitpid(this->pid, nullptr, WNOHANG) == 0;
 }
 
 bool daemon_process::wait_until_ready() const
