--- a/review/kit-2/kit.cpp
+++ b/review/kit-2/kit.cpp
@@ -369,18 +369,31 @@
 
 std::uint16_t free_port()
 {
-    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address = loopback(0);
-    ::bind(descriptor, reinterpret_cast<const sockaddr*>(&address),
-        sizeof address);
-    socklen_t size = sizeof address;
-    ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
-    ::close(descriptor);
-    return ntohs(address.sin_port);
+    // Below the ports that the kernel picks for connections.
+    constexpr unsigned first = 10000;
+    constexpr unsigned count = 20000;
+    static std::atomic<unsigned> next(
+        static_cast<unsigned>(::getpid()) * 37 % count);
+    while (true)
+    {
+        const auto port = static_cast<std::uint16_t>(first + next++ % count);
+        const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const sockaddr_in address = loopback(port);
+        const bool is_free
+            = ::bind(descriptor, reinterpret_cast<const sockaddr*>(&address),
+                  sizeof address)
+            == 0;
+        ::close(descriptor);
+        if (is_free)
+        {
+            return port;
+        }
+    }
 }
 
 store::store()
-    : listening(0, [this](const connection_ptr& peer) { this->serve(peer); })
+    : listening(
+        free_port(), [this](const connection_ptr& peer) { this->serve(peer); })
 {
 }
 
