--- a/review/kit-2/kit.cpp
+++ b/review/kit-2/kit.cpp
@@ -32,8 +32,8 @@
     constexpr const char* program = "target/pollenward_entry";
 
     const auto start_time = std::chrono::steady_clock::now();
-    /// For record.txt, and for what is removed at the end.
-    std::string case_folder;
+    /// What happened, and the folder for what is removed at the end.
+    std::string record_file;
     std::string work_folder;
     std::atomic<pid_t> running_daemon{ -1 };
 
@@ -116,7 +116,7 @@
 void record(const std::string& line)
 {
     static std::mutex mutex;
-    static std::ofstream file(case_folder + "/record.txt");
+    static std::ofstream file(record_file);
     std::array<char, 32> time{};
     std::snprintf(time.data(), time.size(), "%8.3f ", now());
     const std::lock_guard lock(mutex);
@@ -713,6 +713,7 @@
         const std::lock_guard lock(this->mutex);
         if (this->running >= slots && this->waiting >= queue_length)
         {
+            record("worker " + this->id + " is full for " + request_id);
             return peer->write(this->refusal(request_id, false));
         }
         ++this->waiting;
@@ -964,10 +965,10 @@
 {
     if (argc != 3)
     {
-        std::cerr << "needs the folders of the case and for its files\n";
+        std::cerr << "needs the file for the record and a folder\n";
         return could_not_run;
     }
-    case_folder = argv[1];
+    record_file = argv[1];
     work_folder = argv[2];
     ::signal(SIGPIPE, SIG_IGN);
     std::thread([] {
--- a/review/kit-2/kit.hpp
+++ b/review/kit-2/kit.hpp
@@ -43,7 +43,7 @@
 /// False if the script runs with TROUBLE=0.
 bool has_trouble();
 
-/// Writes a line to record.txt, with the time.
+/// Writes a line to the record, with the time.
 void record(const std::string& line);
 
 struct message {
@@ -302,7 +302,8 @@
     const nlohmann::json& routes, const std::vector<std::string>& services);
 
 /// Runs a script's body with a limit of 110 s, and reports what it returns. The
-/// arguments are the folder of the case and one for files that are removed.
+/// arguments are the file of the record and a folder for files that are
+/// removed.
 int run_script(int argc, char** argv, const std::function<int()>& body);
 
 } // namespace review
